--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,28 +1,58 @@
 //! The `pimentorockd` daemon: reads its arguments and runs one role.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{error::Error, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
+use pimentorock_adapter::{settings::PlatformSettings, store, wire};
 use pimentorock_daemon::process;
 
 /// A router for language-model traffic with service levels and priorities.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
-struct DaemonOptions {
-    /// Settings of this process, JSON with comments
-    #[bpaf(argument("FILE"))]
-    settings: PathBuf,
-    /// Check the settings, print all findings and stop
-    check: bool,
+enum DaemonOptions {
+    /// Runs as an entry of the hosting platform, which names the settings file
+    Hosted {
+        /// Serve on the hosting platform
+        #[bpaf(long("hosted"), req_flag(()))]
+        _hosted: (),
+    },
+    /// Runs from a settings file of pimentorock's own
+    Own {
+        /// Settings of this process, JSON with comments
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+        /// Check the settings, print all findings and stop
+        check: bool,
+    },
 }
 
 fn main() -> ExitCode {
-    let options = daemon_options().run();
-    match process::run(&options.settings, options.check) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("pimentorockd: {error}");
-            ExitCode::from(error.exit_code())
-        }
+    match daemon_options().run() {
+        DaemonOptions::Hosted { .. } => match run_hosted() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("pimentorockd: {error}");
+                ExitCode::from(2)
+            }
+        },
+        DaemonOptions::Own { settings, check } => match process::run(&settings, check) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("pimentorockd: {error}");
+                ExitCode::from(error.exit_code())
+            }
+        },
     }
 }
+
+/// Serves on the hosting platform.
+fn run_hosted() -> Result<(), Box<dyn Error>> {
+    let settings = PlatformSettings::read()?;
+    let store = store::connect(settings.store, settings.reports);
+    let reload = || match PlatformSettings::read() {
+        Ok(_) => log::info!(target: "process", "settings read again"),
+        Err(error) => log::warn!(target: "process", "settings kept: {error}"),
+    };
+    pimentorock_gateway::process::run(settings.gateway, wire::codec(), store, Box::new(reload))?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/clock.rs
@@ -0,0 +1,18 @@
+//! The process's clocks.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use pimentorock_kernel::time::TimePoint;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Returns the time since the host's start, which also counts while the host is suspended.
+pub(crate) fn now() -> TimePoint {
+    let time = clock_gettime(ClockId::Boottime);
+    TimePoint::from_micros(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
+}
+
+/// Returns the wall clock in milliseconds since 1970.
+pub(crate) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    since.as_millis() as u64
+}
--- /dev/null
+++ b/crates/gateway/src/dispatcher.rs
@@ -0,0 +1,373 @@
+//! The sends of one request, until an endpoint's answer is there or it is given up.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, request, response};
+use http_body_util::Full;
+use pimentorock_kernel::{
+    ids::EndpointKey,
+    place::{PlaceChoice, PlacedRequest, WorkTicket},
+    reason::DecisionReason,
+    request::RunOutcome,
+    retry::{RetryCase, RetryDecision},
+    time::TimePoint,
+};
+
+use crate::{
+    clock,
+    fleet_config::RouteSpec,
+    link::{HttpLink, LinkBody},
+    logs::part,
+    state::GatewayState,
+    wire::{AnswerHead, CallerHead, ForwardSpec},
+};
+
+/// Least time that a send needs: two round trips between failure domains and some work.
+const LEAST_SEND_TIME: Duration = Duration::from_millis(8);
+
+/// Time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(700);
+
+/// A request of a caller, with its whole body.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) id: Box<str>,
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: RouteSpec,
+    pub(crate) account: Option<Box<str>>,
+    pub(crate) tier: Option<u8>,
+    pub(crate) last_event: Option<Box<str>>,
+    pub(crate) placed: PlacedRequest,
+    pub(crate) arrived: TimePoint,
+    pub(crate) deadline: TimePoint,
+}
+
+impl CallerRequest {
+    /// Returns a request that took `route` and runs for `service`.
+    pub(crate) fn new(
+        parts: request::Parts,
+        body: Bytes,
+        head: CallerHead,
+        route: RouteSpec,
+        service: Box<str>,
+        arrived: TimePoint,
+    ) -> CallerRequest {
+        let patience = head.time_left.unwrap_or(route.timeout).min(route.timeout);
+        let output_tokens = head.output_guess.unwrap_or(head.output_tokens);
+        CallerRequest {
+            id: head.id.unwrap_or_default(),
+            method: parts.method,
+            target: parts.uri,
+            headers: parts.headers,
+            body,
+            account: None,
+            tier: route.tier,
+            last_event: head.last_event,
+            placed: PlacedRequest {
+                service,
+                prompt_tokens: head.prompt_tokens,
+                output_tokens: output_tokens.min(head.output_tokens),
+                parts: head.parts,
+            },
+            deadline: arrived + patience,
+            arrived,
+            route,
+        }
+    }
+
+    /// Sets the client account that the request runs for.
+    pub(crate) fn with_account(mut self, name: Box<str>, tier: Option<u8>) -> CallerRequest {
+        self.account = Some(name);
+        self.tier = tier.or(self.tier);
+        self
+    }
+
+    /// Returns the time left for the answer.
+    pub(crate) fn time_left(&self) -> Duration {
+        clock::now().until(self.deadline)
+    }
+}
+
+/// Work under way at an endpoint; ends when it is dropped.
+#[derive(Debug)]
+pub(crate) struct WorkGuard {
+    state: Arc<GatewayState>,
+    pub(crate) ticket: WorkTicket,
+    /// Name of the endpoint's run.
+    pub(crate) endpoint: Box<str>,
+}
+
+impl WorkGuard {
+    /// Notes the first token of the answer.
+    pub(crate) fn started(&mut self) {
+        self.state.table().started(&mut self.ticket);
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.state.table().ended(&mut self.ticket);
+    }
+}
+
+/// An answer whose head is there.
+#[derive(Debug)]
+pub(crate) struct EndpointAnswer {
+    pub(crate) head: response::Parts,
+    pub(crate) said: AnswerHead,
+    pub(crate) body: LinkBody,
+    pub(crate) work: WorkGuard,
+}
+
+/// Why a request got no answer of an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct GiveUp {
+    /// Status for the caller.
+    pub(crate) status: StatusCode,
+    /// What happened, for the log.
+    pub(crate) reason: Box<str>,
+    /// When to come back, if the request has not run.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// How one send ended.
+#[derive(Debug)]
+enum SendEnd {
+    Answered(Box<EndpointAnswer>),
+    NotRun(Box<str>),
+    Lost(Box<str>),
+    DeadlinePassed,
+}
+
+/// Sends one request until an endpoint answers it.
+#[derive(Debug)]
+pub(crate) struct RequestDispatcher {
+    pub(crate) state: Arc<GatewayState>,
+    pub(crate) request: Arc<CallerRequest>,
+    excluded: Vec<EndpointKey>,
+    /// Sends so far.
+    sends: u32,
+    /// Sends that may have run.
+    runs: u32,
+    /// What the last send that failed came to.
+    last_failure: Option<Box<str>>,
+}
+
+impl RequestDispatcher {
+    /// Returns a dispatcher that has sent nothing.
+    pub(crate) fn new(state: Arc<GatewayState>, request: CallerRequest) -> RequestDispatcher {
+        state.note_request(&request.placed.service);
+        RequestDispatcher {
+            state,
+            request: Arc::new(request),
+            excluded: Vec::new(),
+            sends: 0,
+            runs: 0,
+            last_failure: None,
+        }
+    }
+
+    /// Returns how often the request was sent.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Returns the answer of an endpoint, sending again as long as that is allowed.
+    ///
+    /// `last_event` is the last event that the caller has.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the caller's final answer.
+    pub(crate) async fn answer(
+        &mut self,
+        last_event: Option<&str>,
+    ) -> Result<EndpointAnswer, GiveUp> {
+        loop {
+            let choice = self.choose()?;
+            let end = self.send(&choice, last_event).await;
+            let outcome = match end {
+                SendEnd::Answered(answer) => return Ok(*answer),
+                SendEnd::DeadlinePassed => {
+                    self.runs += 1;
+                    return Err(self.given_up("the deadline passed at an endpoint".into()));
+                }
+                SendEnd::NotRun(reason) => {
+                    self.note_failure(&choice, RunOutcome::NotRun, &reason);
+                    self.last_failure = Some(reason);
+                    RunOutcome::NotRun
+                }
+                SendEnd::Lost(reason) => {
+                    self.runs += 1;
+                    self.note_failure(&choice, RunOutcome::Lost, &reason);
+                    self.last_failure = Some(reason);
+                    RunOutcome::Lost
+                }
+            };
+            self.pause_before_next(outcome).await?;
+        }
+    }
+
+    /// Notes that the answer of `endpoint` broke off, and asks for leave to send again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request must not be sent again.
+    pub(crate) async fn lost(&mut self, work: &WorkGuard, reason: &str) -> Result<(), GiveUp> {
+        let endpoint = work.ticket.endpoint;
+        self.runs += 1;
+        self.state.note_failure(clock::now(), endpoint, &work.endpoint);
+        self.excluded.push(endpoint);
+        self.last_failure = Some(reason.into());
+        self.pause_before_next(RunOutcome::Lost).await
+    }
+
+    /// Decides whether the request is sent again, and waits as long as that decision says.
+    async fn pause_before_next(&mut self, outcome: RunOutcome) -> Result<(), GiveUp> {
+        let request = Arc::clone(&self.request);
+        let case = RetryCase {
+            outcome,
+            idempotent: request.route.is_idempotent() && self.runs < request.route.max_runs,
+            answer_begun: false,
+            attempts: self.sends.max(1),
+            time_left: request.time_left(),
+            needed: LEAST_SEND_TIME,
+        };
+        let seed = clock::now().as_micros();
+        match self.state.decide_retry(&request.placed.service, &case, seed) {
+            RetryDecision::Retry { delay, .. } => {
+                tokio::time::sleep(delay).await;
+                Ok(())
+            }
+            RetryDecision::Stop { reason } => Err(self.given_up(reason.to_string().into())),
+        }
+    }
+
+    fn choose(&mut self) -> Result<PlaceChoice, GiveUp> {
+        let now = clock::now();
+        if now + LEAST_SEND_TIME > self.request.deadline {
+            return Err(self.given_up("no time is left".into()));
+        }
+        let choice = self.state.table().choose(now, &self.request.placed, &self.excluded);
+        choice.map_err(|reason: DecisionReason| self.given_up(reason.to_string().into()))
+    }
+
+    /// Returns the final answer for a request that is sent no more.
+    fn given_up(&self, reason: Box<str>) -> GiveUp {
+        let why = self.last_failure.as_deref();
+        let reason = why.map_or(reason.clone(), |why| format!("{reason}; before: {why}").into());
+        if self.runs == 0 {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return GiveUp { status, reason, retry_after: Some(RETRY_AFTER) };
+        }
+        let late = self.request.time_left() < LEAST_SEND_TIME;
+        let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+        GiveUp { status, reason, retry_after: None }
+    }
+
+    fn note_failure(&mut self, choice: &PlaceChoice, outcome: RunOutcome, reason: &str) {
+        log::info!(
+            target: part::REQUEST,
+            request = &*self.request.id, endpoint = &*choice.name, sends = self.sends,
+            may_have_run = outcome != RunOutcome::NotRun, reason = reason;
+            "send failed"
+        );
+        self.excluded.push(choice.endpoint);
+    }
+
+    async fn send(&mut self, choice: &PlaceChoice, last_event: Option<&str>) -> SendEnd {
+        let address = match self.state.book().entry(&choice.name) {
+            Some(entry) => entry.address,
+            None => return SendEnd::NotRun("the endpoint has just left".into()),
+        };
+        self.sends += 1;
+        let now = clock::now();
+        let ticket = self.state.table().sent(now, choice.endpoint, &self.request.placed);
+        let state = Arc::clone(&self.state);
+        let work = WorkGuard { state, ticket, endpoint: choice.name.clone() };
+        let repeat = self.sends > 1;
+        let mut link = match self.state.pool.take(&choice.name, address).await {
+            Ok(link) => link,
+            Err(error) => {
+                self.state.metrics.note_send("unreachable", repeat);
+                self.state.note_failure(clock::now(), choice.endpoint, &choice.name);
+                return SendEnd::NotRun(error.to_string().into());
+            }
+        };
+        let request = self.forwarded(choice, last_event);
+        let answer = tokio::time::timeout(self.request.time_left(), link.send(request)).await;
+        let end = match answer {
+            Err(_) => SendEnd::DeadlinePassed,
+            Ok(Err(error)) if error.is_unsent() => SendEnd::NotRun(error.to_string().into()),
+            Ok(Err(error)) => {
+                self.state.note_failure(clock::now(), choice.endpoint, &choice.name);
+                SendEnd::Lost(error.to_string().into())
+            }
+            Ok(Ok(answer)) => self.take_head(choice, link, answer, work),
+        };
+        self.state.metrics.note_send(end_name(&end), repeat);
+        end
+    }
+
+    /// Checks that the head of an answer belongs to this request and says that it ran.
+    fn take_head(
+        &self,
+        choice: &PlaceChoice,
+        mut link: HttpLink,
+        answer: http::Response<hyper::body::Incoming>,
+        work: WorkGuard,
+    ) -> SendEnd {
+        let (head, body) = answer.into_parts();
+        let said = (self.state.codec.answer_head)(&head.headers);
+        let now = clock::now();
+        if said.id.as_deref().is_some_and(|id| id != &*self.request.id) {
+            return SendEnd::Lost("the answer belongs to another request".into());
+        }
+        if let Some(sample) = said.sample {
+            self.state.table().note_sample(now, choice.endpoint, sample);
+        }
+        if said.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+            if head.status == StatusCode::MISDIRECTED_REQUEST {
+                self.state.note_failure(now, choice.endpoint, &choice.name);
+            }
+            return SendEnd::NotRun(format!("turned away with status {}", head.status).into());
+        }
+        if head.status.is_success() && (!said.signed || said.id.is_none()) {
+            return SendEnd::Lost("the answer bears no signature".into());
+        }
+        if let Some(limit) = said.idle_limit {
+            link.set_idle_limit(limit);
+        }
+        let body = LinkBody::new(link, body);
+        SendEnd::Answered(Box::new(EndpointAnswer { head, said, body, work }))
+    }
+
+    fn forwarded(&self, choice: &PlaceChoice, last_event: Option<&str>) -> Request<Full<Bytes>> {
+        let request = &self.request;
+        let spec = ForwardSpec {
+            endpoint: &choice.name,
+            account: request.account.as_deref(),
+            time_left: request.time_left(),
+            tier: request.tier,
+            last_event,
+        };
+        let mut forwarded = Request::new(Full::new(request.body.clone()));
+        *forwarded.method_mut() = request.method.clone();
+        *forwarded.uri_mut() = request.target.clone();
+        *forwarded.headers_mut() = (self.state.codec.forward)(&request.headers, &spec);
+        forwarded
+    }
+}
+
+fn end_name(end: &SendEnd) -> &'static str {
+    match end {
+        SendEnd::Answered(_) => "answered",
+        SendEnd::NotRun(_) => "not_run",
+        SendEnd::Lost(_) => "lost",
+        SendEnd::DeadlinePassed => "deadline_passed",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event_splitter.rs
@@ -0,0 +1,63 @@
+//! Splits a stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Whole events of a stream, and the identifier of the last of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct EventRun {
+    /// The events' bytes, unchanged.
+    pub(crate) bytes: Bytes,
+    /// Number of events.
+    pub(crate) count: u32,
+    /// Identifier of the first event that has one.
+    pub(crate) first_id: Option<Box<str>>,
+    /// Identifier of the last event that has one.
+    pub(crate) last_id: Option<Box<str>>,
+}
+
+/// Collects bytes until they are whole events.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    pending: BytesMut,
+}
+
+impl EventSplitter {
+    /// Takes bytes and returns the events that are whole now, if there are any.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<EventRun> {
+        self.pending.extend_from_slice(bytes);
+        let end = last_event_end(&self.pending)?;
+        let whole = self.pending.split_to(end).freeze();
+        let ids = event_ids(&whole);
+        Some(EventRun {
+            count: event_count(&whole),
+            first_id: ids.first().map(|id| (*id).into()),
+            last_id: ids.last().map(|id| (*id).into()),
+            bytes: whole.clone(),
+        })
+    }
+
+    /// Returns bytes behind the last whole event.
+    pub(crate) fn pending(&self) -> &[u8] {
+        &self.pending
+    }
+}
+
+/// Returns the offset behind the last empty line.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let ends = |end: usize| bytes[..end].ends_with(b"\n\n") || bytes[..end].ends_with(b"\n\r\n");
+    (1..=bytes.len()).rev().find(|end| bytes[end - 1] == b'\n' && ends(*end))
+}
+
+fn event_count(bytes: &[u8]) -> u32 {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    lines.filter(|line| line.is_empty() || *line == b"\r").count().saturating_sub(1) as u32
+}
+
+fn event_ids(bytes: &[u8]) -> Vec<&str> {
+    bytes
+        .split(|byte| *byte == b'\n')
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .filter_map(|id| std::str::from_utf8(id).ok())
+        .map(str::trim)
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Metrics of the entry, in the text form that scrapers read.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{AsyncInstrument, Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::logs;
+
+/// Instruments of one entry and the registry they are read from.
+#[derive(Clone, Debug)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_byte: Histogram<f64>,
+    config_version: Gauge<u64>,
+    endpoints: Gauge<u64>,
+}
+
+impl GatewayMetrics {
+    /// Returns instruments that have counted nothing.
+    pub(crate) fn new() -> GatewayMetrics {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a fresh registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("pimentorock");
+        let observe = |observer: &dyn AsyncInstrument<u64>| observer.observe(logs::dropped(), &[]);
+        meter.u64_observable_counter("dropped_log_lines").with_callback(observe).build();
+        GatewayMetrics {
+            registry,
+            requests: meter.u64_counter("requests").build(),
+            sends: meter.u64_counter("sends").build(),
+            store_calls: meter.u64_counter("store_calls").build(),
+            first_byte: meter.f64_histogram("first_byte_seconds").with_unit("s").build(),
+            config_version: meter.u64_gauge("config_version").build(),
+            endpoints: meter.u64_gauge("endpoints").build(),
+            _provider: provider,
+        }
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn note_request(&self, route: &str, outcome: &'static str) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.requests.add(1, &[route, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts one send of a request to an endpoint.
+    pub(crate) fn note_send(&self, outcome: &'static str, repeat: bool) {
+        let repeat = KeyValue::new("repeat", repeat);
+        self.sends.add(1, &[KeyValue::new("outcome", outcome), repeat]);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn note_store_call(&self, call: &'static str, ok: bool) {
+        self.store_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("ok", ok)]);
+    }
+
+    /// Notes the time from a request's arrival to the first byte of its answer.
+    pub(crate) fn note_first_byte(&self, route: &str, span: Duration) {
+        self.first_byte.record(span.as_secs_f64(), &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// Notes the configuration in force.
+    pub(crate) fn note_config(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// Notes the number of known endpoints.
+    pub(crate) fn note_endpoints(&self, count: usize) {
+        self.endpoints.record(count as u64, &[]);
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            return format!("# {error}\n");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ready.rs
@@ -0,0 +1,59 @@
+//! Answers the balancer and the scraper of metrics.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::{link, logs::part, state::GatewayState};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers on `listener` until `stop` is cancelled.
+pub(crate) async fn serve(
+    state: Arc<GatewayState>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        if let Err(error) = link::guard(&stream) {
+            log::warn!(target: part::CALLERS, error = error.to_string(); "socket refused options");
+        }
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let response = answer(&state, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served =
+                http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            if let Err(error) = served {
+                log::trace!("a connection for readiness ended: {error}");
+            }
+        });
+    }
+}
+
+fn answer(state: &GatewayState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let mut response = Response::new(Full::default());
+    if path == METRICS_PATH {
+        *response.body_mut() = Full::from(state.metrics.text());
+    } else if path != state.codec.ready_path {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    } else if !state.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,330 @@
+//! Passes an endpoint's answer on to the caller.
+
+use std::{
+    fmt,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Response, StatusCode, header};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+
+use crate::{
+    clock,
+    dispatcher::{EndpointAnswer, GiveUp, RequestDispatcher},
+    event_splitter::EventSplitter,
+    fleet_config::RouteKind,
+    logs::part,
+};
+
+/// Frames of a stream that wait for a slow caller.
+const WAITING_FRAMES: usize = 8;
+
+/// Largest answer that is held to be sent as a whole.
+const MAX_WHOLE_ANSWER: usize = 16 << 20;
+
+/// Why an answer ends early.
+#[derive(Debug)]
+pub(crate) struct BrokenAnswer;
+
+impl fmt::Display for BrokenAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for BrokenAnswer {}
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub(crate) enum CallerBody {
+    /// A whole body.
+    Whole(Option<Bytes>),
+    /// A stream; an error in it closes the connection, so that it does not look complete.
+    Stream(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        match &mut *self {
+            CallerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            CallerBody::Stream(frames) => {
+                frames.poll_recv(cx).map(|frame| frame.map(|bytes| bytes.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, CallerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            CallerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            CallerBody::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Returns the answer that the caller gets for a request.
+pub(crate) async fn answer(mut dispatcher: RequestDispatcher) -> Response<CallerBody> {
+    let last_event = dispatcher.request.last_event.clone();
+    loop {
+        let answer = match dispatcher.answer(last_event.as_deref()).await {
+            Ok(answer) => answer,
+            Err(give_up) => return refusal(&dispatcher, &give_up),
+        };
+        note_first_byte(&dispatcher);
+        let streams = dispatcher.request.route.kind == RouteKind::Stream;
+        if streams && answer.head.status.is_success() {
+            return stream(dispatcher, answer);
+        }
+        match whole(&mut dispatcher, answer).await {
+            Ok(response) => return response,
+            Err(Some(give_up)) => return refusal(&dispatcher, &give_up),
+            Err(None) => {}
+        }
+    }
+}
+
+/// Returns a final answer of the entry's own.
+fn refusal(dispatcher: &RequestDispatcher, give_up: &GiveUp) -> Response<CallerBody> {
+    let request = &dispatcher.request;
+    log::warn!(
+        target: part::REQUEST,
+        request = &*request.id, route = &*request.route.name, status = give_up.status.as_u16(),
+        sends = dispatcher.sends(), reason = &*give_up.reason,
+        waited_ms = clock::now().since(request.arrived).as_millis() as u64;
+        "request given up"
+    );
+    let outcome = if give_up.retry_after.is_some() { "refused" } else { "failed" };
+    dispatcher.state.metrics.note_request(&request.route.name, outcome);
+    let mut response = Response::new(CallerBody::Whole(None));
+    *response.status_mut() = give_up.status;
+    if let Some(span) = give_up.retry_after {
+        (dispatcher.state.codec.retry_after)(response.headers_mut(), span);
+    }
+    response
+}
+
+/// Reads a whole answer; fails with `None` if the request may be sent again.
+async fn whole(
+    dispatcher: &mut RequestDispatcher,
+    answer: EndpointAnswer,
+) -> Result<Response<CallerBody>, Option<GiveUp>> {
+    let EndpointAnswer { head, said, mut body, mut work } = answer;
+    note_start(dispatcher);
+    work.started();
+    let left = dispatcher.request.time_left();
+    let collected = match tokio::time::timeout(left, collect(&mut body)).await {
+        Ok(collected) => collected,
+        Err(_) => Err("the deadline passed within the answer".into()),
+    };
+    let bytes = match collected {
+        Ok(bytes) => bytes,
+        Err(reason) => {
+            drop(body);
+            return match dispatcher.lost(&work, &reason).await {
+                Ok(()) => Err(None),
+                Err(give_up) => Err(Some(give_up)),
+            };
+        }
+    };
+    if !said.closes {
+        dispatcher.state.pool.put(&work.endpoint, body.link);
+    }
+    let request = &dispatcher.request;
+    let outcome = if head.status.is_success() { "served" } else { "failed_at_endpoint" };
+    dispatcher.state.metrics.note_request(&request.route.name, outcome);
+    let headers = caller_headers(dispatcher, &head.headers);
+    let mut response = Response::new(CallerBody::Whole((!bytes.is_empty()).then_some(bytes)));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = headers;
+    Ok(response)
+}
+
+async fn collect(body: &mut crate::link::LinkBody) -> Result<Bytes, Box<str>> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string().into_boxed_str())?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > MAX_WHOLE_ANSWER {
+            return Err("the answer is too large".into());
+        }
+    }
+    Ok(bytes.freeze())
+}
+
+fn caller_headers(dispatcher: &RequestDispatcher, headers: &HeaderMap) -> HeaderMap {
+    let mut headers = (dispatcher.state.codec.backward)(headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers
+}
+
+fn note_first_byte(dispatcher: &RequestDispatcher) {
+    let request = &dispatcher.request;
+    let span = clock::now().since(request.arrived);
+    dispatcher.state.metrics.note_first_byte(&request.route.name, span);
+}
+
+/// Counts a request that began to run for its client account.
+fn note_start(dispatcher: &RequestDispatcher) {
+    if let Some(account) = &dispatcher.request.account {
+        dispatcher.state.tally().note_start(clock::wall_ms(), account);
+    }
+}
+
+/// Starts to pass on a stream, and returns its head.
+fn stream(dispatcher: RequestDispatcher, answer: EndpointAnswer) -> Response<CallerBody> {
+    let (frames, receiver) = mpsc::channel(WAITING_FRAMES);
+    let headers = caller_headers(&dispatcher, &answer.head.headers);
+    let status = answer.head.status;
+    let last_event = dispatcher.request.last_event.clone();
+    let relay = StreamRelay { dispatcher, frames, last_event, counted: false };
+    tokio::spawn(relay.run(answer));
+    let mut response = Response::new(CallerBody::Stream(receiver));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// How the answer of one endpoint ended.
+#[derive(Debug, PartialEq, Eq)]
+enum PartEnd {
+    Complete,
+    CallerGone,
+    DeadlinePassed,
+    Broken(Box<str>),
+}
+
+/// Passes on a stream, over several endpoints if it may be resumed.
+struct StreamRelay {
+    dispatcher: RequestDispatcher,
+    frames: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
+    /// The last event that went to the caller.
+    last_event: Option<Box<str>>,
+    /// Whether the request was counted as one that began to run.
+    counted: bool,
+}
+
+impl StreamRelay {
+    async fn run(mut self, mut answer: EndpointAnswer) {
+        loop {
+            let end = self.pass_on(&mut answer).await;
+            let reason = match end {
+                PartEnd::Complete => {
+                    let EndpointAnswer { said, body, work, .. } = answer;
+                    if !said.closes {
+                        self.dispatcher.state.pool.put(&work.endpoint, body.link);
+                    }
+                    return self.finish("served");
+                }
+                PartEnd::CallerGone => return self.finish("caller_gone"),
+                PartEnd::DeadlinePassed => return self.break_off("the deadline passed").await,
+                PartEnd::Broken(reason) => reason,
+            };
+            answer = match self.resumed(answer, &reason).await {
+                Some(answer) => answer,
+                None => return self.break_off(&reason).await,
+            };
+        }
+    }
+
+    /// Asks another endpoint to go on behind the last event.
+    async fn resumed(&mut self, broken: EndpointAnswer, reason: &str) -> Option<EndpointAnswer> {
+        let EndpointAnswer { body, work, .. } = broken;
+        // Closes the connection, so that the endpoint stops.
+        drop(body);
+        let last_event = self.last_event.clone();
+        self.dispatcher.lost(&work, reason).await.ok()?;
+        drop(work);
+        let next = self.dispatcher.answer(last_event.as_deref()).await.ok()?;
+        log::info!(
+            target: part::REQUEST,
+            request = &*self.dispatcher.request.id, endpoint = &*next.work.endpoint,
+            last_event = last_event.as_deref().unwrap_or("none"), reason = reason;
+            "stream resumed"
+        );
+        next.head.status.is_success().then_some(next)
+    }
+
+    async fn pass_on(&mut self, answer: &mut EndpointAnswer) -> PartEnd {
+        let mut splitter = EventSplitter::default();
+        let left = self.dispatcher.request.time_left();
+        let deadline = tokio::time::sleep(left);
+        tokio::pin!(deadline);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.frames.closed() => return PartEnd::CallerGone,
+                frame = answer.body.frame() => frame,
+                () = &mut deadline => return PartEnd::DeadlinePassed,
+            };
+            let data = match frame {
+                None if splitter.pending().is_empty() => return PartEnd::Complete,
+                None => return PartEnd::Broken("it ended within an event".into()),
+                Some(Err(error)) => return PartEnd::Broken(error.to_string().into()),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(_) => continue,
+                },
+            };
+            let Some(events) = splitter.push(&data) else { continue };
+            if !self.counted {
+                self.counted = true;
+                note_start(&self.dispatcher);
+            }
+            answer.work.started();
+            if let Some(id) = events.last_id {
+                self.last_event = Some(id);
+            }
+            if self.frames.send(Ok(events.bytes)).await.is_err() {
+                return PartEnd::CallerGone;
+            }
+        }
+    }
+
+    fn finish(&self, outcome: &'static str) {
+        let request = &self.dispatcher.request;
+        self.dispatcher.state.metrics.note_request(&request.route.name, outcome);
+    }
+
+    /// Ends the stream so that it does not look complete.
+    async fn break_off(&self, reason: &str) {
+        let request = &self.dispatcher.request;
+        log::warn!(
+            target: part::REQUEST,
+            request = &*request.id, route = &*request.route.name, reason = reason,
+            sends = self.dispatcher.sends(),
+            last_event = self.last_event.as_deref().unwrap_or("none");
+            "stream broken off"
+        );
+        self.finish("broken_off");
+        // A caller that reads no more is gone, too.
+        let _ = tokio::time::timeout(BREAK_TIME, self.frames.send(Err(BrokenAnswer))).await;
+    }
+}
+
+/// Longest time that a broken stream waits for a slow caller.
+const BREAK_TIME: Duration = Duration::from_secs(2);
+
+/// Returns an answer of the entry's own without a body.
+pub(crate) fn plain(status: StatusCode) -> Response<CallerBody> {
+    let mut response = Response::new(CallerBody::Whole(None));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,234 @@
+//! What all requests of an entry share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use pimentorock_kernel::{
+    duty::UsageTally,
+    ids::{EndpointKey, ProcessId},
+    place::{PlacedEndpoint, PlacementTable},
+    retry::{self, RetryBudget, RetryCase, RetryDecision},
+    time::TimePoint,
+};
+
+use crate::{
+    clock,
+    endpoint_book::{BookChange, EndpointBook},
+    fleet_config::FleetConfig,
+    link_pool::LinkPool,
+    logs::part,
+    metrics::GatewayMetrics,
+    route_table::RouteTable,
+    settings::GatewaySettings,
+    store::{FleetStore, StoreError, StoreRecord, StoreTopic},
+    wire::WireCodec,
+};
+
+/// Share of the deployment's retry allowance that entries use; the rest covers entries that do
+/// not know of each other yet.
+const BUDGET_SHARE: f64 = 0.7;
+
+/// What all requests of an entry share.
+#[derive(Debug)]
+pub(crate) struct GatewayState {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) process: ProcessId,
+    pub(crate) codec: WireCodec,
+    pub(crate) store: FleetStore,
+    pub(crate) routes: ArcSwapOption<RouteTable>,
+    pub(crate) pool: LinkPool,
+    pub(crate) metrics: GatewayMetrics,
+    /// Whether the process is about to stop.
+    pub(crate) draining: AtomicBool,
+    /// The record of the configuration in force, for peers that the store refuses.
+    config: Mutex<Option<StoreRecord>>,
+    book: Mutex<EndpointBook>,
+    table: Mutex<PlacementTable>,
+    budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
+    tally: Mutex<UsageTally>,
+    peers: Mutex<Vec<SocketAddr>>,
+    /// Entries that shared their counts lately, this one among them.
+    live_entries: AtomicUsize,
+}
+
+impl GatewayState {
+    /// Returns the state of an entry that knows nothing yet.
+    pub(crate) fn new(settings: GatewaySettings, codec: WireCodec, store: FleetStore) -> Self {
+        let process = ProcessId { name: settings.name.clone(), incarnation: clock::wall_ms() };
+        let window_ms = settings.usage_window.as_millis() as u64;
+        let known = settings.seeds.len().max(1);
+        GatewayState {
+            table: Mutex::new(PlacementTable::new(&settings.domain)),
+            tally: Mutex::new(UsageTally::new(process.clone(), window_ms)),
+            process,
+            codec,
+            store,
+            routes: ArcSwapOption::empty(),
+            pool: LinkPool::default(),
+            metrics: GatewayMetrics::new(),
+            draining: AtomicBool::new(false),
+            config: Mutex::new(None),
+            book: Mutex::new(EndpointBook::default()),
+            budgets: Mutex::new(HashMap::new()),
+            peers: Mutex::new(Vec::new()),
+            live_entries: AtomicUsize::new(known),
+            settings,
+        }
+    }
+
+    /// Returns the endpoints with what is known of their load.
+    pub(crate) fn table(&self) -> MutexGuard<'_, PlacementTable> {
+        self.table.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the endpoints as the store lists them.
+    pub(crate) fn book(&self) -> MutexGuard<'_, EndpointBook> {
+        self.book.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the counts of requests that began to run.
+    pub(crate) fn tally(&self) -> MutexGuard<'_, UsageTally> {
+        self.tally.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the record of the configuration in force.
+    pub(crate) fn config_record(&self) -> Option<StoreRecord> {
+        self.config.lock().expect("no holder of the lock panics").clone()
+    }
+
+    /// Returns whether this host should get new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        let known = self.routes.load().is_some() && self.book().len() > 0;
+        known && !self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Takes a configuration, unless it is not newer than the one in force.
+    ///
+    /// `source` says where it came from.
+    pub(crate) fn apply_config(&self, record: &StoreRecord, config: FleetConfig, source: &str) {
+        let mut known = self.config.lock().expect("no holder of the lock panics");
+        let newer = self.routes.load().as_ref().is_none_or(|now| config.version > now.version());
+        if !newer {
+            return;
+        }
+        log::info!(
+            target: part::FOLLOW,
+            version = config.version, offset = record.offset, source = source,
+            routes = config.routes.len();
+            "configuration applied"
+        );
+        self.metrics.note_config(config.version);
+        self.routes.store(Some(std::sync::Arc::new(RouteTable::new(config))));
+        *known = Some(record.clone());
+    }
+
+    /// Takes a record of the configuration or of an endpoint; one that cannot be decoded changes
+    /// nothing, or ends the endpoint that it names.
+    pub(crate) fn take_record(&self, topic: StoreTopic, record: &StoreRecord, source: &str) {
+        match topic {
+            StoreTopic::Config => match (self.store.decode_config)(record) {
+                Ok(Some(config)) => self.apply_config(record, config, source),
+                Ok(None) => {}
+                Err(error) => note_unreadable(record, &error),
+            },
+            StoreTopic::Endpoints => {
+                let entry = record.value.as_ref().and_then(|_| {
+                    let decoded = (self.store.decode_endpoint)(record);
+                    decoded.inspect_err(|error| note_unreadable(record, error)).ok()
+                });
+                let change = self.book().take(clock::now(), record, entry);
+                self.apply_changes(change.into_iter().collect());
+            }
+            StoreTopic::Shares | StoreTopic::Duty => {}
+        }
+    }
+
+    /// Returns where other entries are reached.
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        let mut peers = self.peers.lock().expect("no holder of the lock panics").clone();
+        peers.extend(&self.settings.seeds);
+        peers.sort_unstable();
+        peers.dedup();
+        peers.retain(|peer| *peer != self.settings.peers);
+        peers
+    }
+
+    /// Sets where other entries are reached.
+    pub(crate) fn set_peers(&self, peers: Vec<SocketAddr>) {
+        *self.peers.lock().expect("no holder of the lock panics") = peers;
+    }
+
+    /// Takes over what became of endpoints.
+    pub(crate) fn apply_changes(&self, changes: Vec<BookChange>) {
+        for change in changes {
+            match change {
+                BookChange::Put(name, entry) => {
+                    log::info!(
+                        target: part::FOLLOW,
+                        endpoint = &*name, service = &*entry.service, leaving = entry.leaving;
+                        "endpoint listed"
+                    );
+                    self.table().put(PlacedEndpoint {
+                        name,
+                        service: entry.service,
+                        domain: entry.domain,
+                        slots: entry.slots,
+                        leaving: entry.leaving,
+                    });
+                }
+                BookChange::Gone(name) => {
+                    log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint gone");
+                    self.table().remove(&name);
+                    self.pool.forget(&name);
+                }
+            }
+        }
+        self.metrics.note_endpoints(self.book().len());
+    }
+
+    /// Sets the number of entries that share the retry budget.
+    pub(crate) fn set_live_entries(&self, count: usize) {
+        self.live_entries.store(count.max(1), Ordering::Relaxed);
+    }
+
+    /// Notes a request for `service`, which earns a part of a retry.
+    pub(crate) fn note_request(&self, service: &str) {
+        self.with_budget(service, RetryBudget::completed);
+    }
+
+    /// Decides whether a request for `service` is sent again.
+    pub(crate) fn decide_retry(&self, service: &str, case: &RetryCase, seed: u64) -> RetryDecision {
+        self.with_budget(service, |budget| retry::decide(budget, case, seed))
+    }
+
+    fn with_budget<T>(&self, service: &str, decide: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
+        let budget = budgets.entry(service.into()).or_insert_with(|| {
+            let entries = self.live_entries.load(Ordering::Relaxed) as f64;
+            let reserve = self.settings.retry_slack * BUDGET_SHARE / entries;
+            RetryBudget::with_limits(self.settings.retry_ratio * BUDGET_SHARE, reserve)
+        });
+        decide(budget)
+    }
+
+    /// Notes that an endpoint failed a request, or could not be reached.
+    pub(crate) fn note_failure(&self, now: TimePoint, endpoint: EndpointKey, name: &str) {
+        log::info!(target: part::REQUEST, endpoint = name; "endpoint rests after a failure");
+        self.table().note_failure(now, endpoint);
+    }
+}
+
+fn note_unreadable(record: &StoreRecord, error: &StoreError) {
+    log::warn!(
+        target: part::FOLLOW,
+        key = &*record.key, offset = record.offset, error = error.to_string();
+        "record unreadable"
+    );
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -18,6 +18,8 @@
 * [`control`] decides on shared state: configuration, keys, leases, membership.
 * [`queue`] decides, beside one endpoint, which request runs next.
 * [`route`] decides, in an entry, which endpoint a request is sent to.
+* [`place`] decides the same where no agents stand beside the endpoints.
+* [`duty`] decides who reports usage, where the log takes conditional appends.
 * [`limit`] holds the limits of client accounts across entries.
 * [`retry`] decides whether a request that failed is sent again.
 * [`scale`] decides when endpoints are started and stopped.
@@ -38,8 +40,10 @@
 
 pub mod catalog;
 pub mod control;
+pub mod duty;
 pub mod ids;
 pub mod limit;
+pub mod place;
 pub mod predict;
 pub mod queue;
 pub mod reason;
--- /dev/null
+++ b/crates/kernel/src/place/endpoint.rs
@@ -0,0 +1,124 @@
+//! One endpoint as placement sees it.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::time::TimePoint;
+
+/// Time for which an endpoint counts as holding a shared part after its last use.
+const PART_MEMORY: Duration = Duration::from_secs(30);
+
+/// Shared parts remembered for one endpoint before old ones are dropped.
+const MAX_PARTS: usize = 4096;
+
+/// Time without new sends after a first failure; each further one in a row doubles it.
+const FIRST_REST: Duration = Duration::from_millis(400);
+
+/// Longest time without new sends after failures.
+const LONGEST_REST: Duration = Duration::from_secs(3);
+
+/// Age at which what an endpoint said of its load no longer counts.
+const SAMPLE_LIFE: Duration = Duration::from_secs(1);
+
+/// An endpoint that requests may be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacedEndpoint {
+    /// Name of this run of the endpoint, unique over the deployment.
+    pub name: Box<str>,
+    /// Service that it runs.
+    pub service: Box<str>,
+    /// Failure domain.
+    pub domain: Box<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// What an endpoint said of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointSample {
+    /// Requests that run there, whoever sent them.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+/// What this entry knows of one endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct EndpointState {
+    pub(super) spec: PlacedEndpoint,
+    /// Requests of this entry that have no answer yet or whose answer is under way.
+    pub(super) in_flight: u32,
+    /// Prompt tokens of this entry's requests that have no first token yet.
+    pub(super) prefill: f64,
+    /// Whether long prompts go here.
+    pub(super) takes_long: bool,
+    sample: Option<(TimePoint, EndpointSample, u32)>,
+    parts: HashMap<u64, TimePoint>,
+    failures: u32,
+    rests_until: TimePoint,
+}
+
+impl EndpointState {
+    pub(super) fn new(spec: PlacedEndpoint) -> EndpointState {
+        EndpointState {
+            spec,
+            in_flight: 0,
+            prefill: 0.0,
+            takes_long: true,
+            sample: None,
+            parts: HashMap::new(),
+            failures: 0,
+            rests_until: TimePoint::ZERO,
+        }
+    }
+
+    /// Returns requests at the endpoint: this entry's, and others' as of its last word.
+    pub(super) fn load(&self, now: TimePoint) -> f64 {
+        let own = f64::from(self.in_flight);
+        match self.sample {
+            Some((at, sample, own_then)) if now.since(at) < SAMPLE_LIFE => {
+                let all = sample.running + sample.waiting;
+                own + f64::from(all.saturating_sub(own_then))
+            }
+            _ => own,
+        }
+    }
+
+    /// Returns requests that waited there as of the endpoint's last word.
+    pub(super) fn waiting(&self, now: TimePoint) -> u32 {
+        match self.sample {
+            Some((at, sample, _)) if now.since(at) < SAMPLE_LIFE => sample.waiting,
+            _ => 0,
+        }
+    }
+
+    pub(super) fn note_sample(&mut self, now: TimePoint, sample: EndpointSample) {
+        self.sample = Some((now, sample, self.in_flight));
+    }
+
+    pub(super) fn holds(&self, now: TimePoint, part: u64) -> bool {
+        self.parts.get(&part).is_some_and(|used| now.since(*used) < PART_MEMORY)
+    }
+
+    pub(super) fn note_part(&mut self, now: TimePoint, part: u64) {
+        if self.parts.len() >= MAX_PARTS {
+            self.parts.retain(|_, used| now.since(*used) < PART_MEMORY);
+        }
+        self.parts.insert(part, now);
+    }
+
+    pub(super) fn rests(&self, now: TimePoint) -> bool {
+        now < self.rests_until
+    }
+
+    pub(super) fn note_failure(&mut self, now: TimePoint) {
+        let rest = FIRST_REST * (1 << self.failures.min(4));
+        self.failures += 1;
+        self.rests_until = now + rest.min(LONGEST_REST);
+    }
+
+    pub(super) fn note_success(&mut self) {
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/place/table.rs
@@ -0,0 +1,275 @@
+//! The endpoints of an entry and the choice among them.
+
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+
+use crate::{
+    ids::EndpointKey,
+    place::{EndpointSample, PlacedEndpoint, PlacedRequest, WorkTicket, endpoint::EndpointState},
+    reason::DecisionReason,
+    route::{hash_text, mix},
+    time::TimePoint,
+};
+
+/// Prompt length in tokens from which a prompt delays the streams beside it.
+///
+/// An engine reads a chunk of about 2,000 tokens between two tokens of all its streams; one
+/// chunk goes unnoticed, several in a row are a pause.
+const LONG_PROMPT: u32 = 2_500;
+
+/// Share of a service's endpoints that take long prompts.
+const LONG_SHARE: f64 = 0.67;
+
+/// Fewest endpoints of a service that are worth dividing.
+const MIN_DIVIDED: usize = 3;
+
+/// Prompt tokens that delay a request as much as one request beside it.
+const REQUEST_WEIGHT: f64 = 250.0;
+
+/// Prompt tokens that one request waiting at the endpoint stands for.
+const WAITING_WEIGHT: f64 = 2_000.0;
+
+/// Cost of a shared part that must be read again, as a multiple of reading it.
+const REREAD_WEIGHT: f64 = 8.0;
+
+/// Cost of sending a prompt token to another failure domain, in prompt tokens.
+const DISTANCE_WEIGHT: f64 = 0.3;
+
+/// Cost of sending any request to another failure domain, in prompt tokens.
+const DISTANCE_BASE: f64 = 400.0;
+
+/// Cost for a short prompt of an endpoint that takes long ones, in prompt tokens.
+const MIXED_COST: f64 = 6_000.0;
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlaceChoice {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Its name.
+    pub name: Box<str>,
+    /// What speaks against it, in prompt tokens.
+    pub cost: f64,
+    /// Whether it holds the request's shared parts as far as this entry knows.
+    pub cached: bool,
+}
+
+/// The endpoints that an entry may send to, with what it knows of each.
+#[derive(Clone, Debug)]
+pub struct PlacementTable {
+    domain: Box<str>,
+    endpoints: SlotMap<EndpointKey, EndpointState>,
+    names: HashMap<Box<str>, EndpointKey>,
+}
+
+impl PlacementTable {
+    /// Returns an empty table for an entry in `domain`.
+    pub fn new(domain: &str) -> PlacementTable {
+        PlacementTable {
+            domain: domain.into(),
+            endpoints: SlotMap::with_key(),
+            names: HashMap::new(),
+        }
+    }
+
+    /// Adds an endpoint, or takes over what changed of a known one.
+    pub fn put(&mut self, spec: PlacedEndpoint) -> EndpointKey {
+        let known = self.names.get(&spec.name).copied();
+        let key = match known.filter(|key| self.endpoints.contains_key(*key)) {
+            Some(key) => {
+                self.endpoints[key].spec = spec;
+                key
+            }
+            None => {
+                let name = spec.name.clone();
+                let key = self.endpoints.insert(EndpointState::new(spec));
+                self.names.insert(name, key);
+                key
+            }
+        };
+        self.divide();
+        key
+    }
+
+    /// Removes an endpoint.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(key) = self.names.remove(name) {
+            self.endpoints.remove(key);
+            self.divide();
+        }
+    }
+
+    /// Returns the key of the endpoint named `name`.
+    pub fn key(&self, name: &str) -> Option<EndpointKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Returns the endpoints that take new work for `service`.
+    pub fn open_count(&self, service: &str) -> usize {
+        let open = |state: &&EndpointState| *state.spec.service == *service && !state.spec.leaving;
+        self.endpoints.values().filter(open).count()
+    }
+
+    /// Chooses an endpoint for `request`, leaving out those in `excluded`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if no endpoint of the service may take it.
+    pub fn choose(
+        &self,
+        now: TimePoint,
+        request: &PlacedRequest,
+        excluded: &[EndpointKey],
+    ) -> Result<PlaceChoice, DecisionReason> {
+        let open = |(key, state): &(EndpointKey, &EndpointState)| {
+            *state.spec.service == *request.service
+                && !state.spec.leaving
+                && !excluded.contains(key)
+        };
+        let best = self
+            .endpoints
+            .iter()
+            .filter(open)
+            .map(|(key, state)| (state.rests(now), self.cost(now, state, request), key))
+            .min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("costs are numbers"));
+        let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::NoEndpoint) };
+        let state = &self.endpoints[endpoint];
+        let cached = request.affinity_part().is_some_and(|part| state.holds(now, part.id));
+        Ok(PlaceChoice { endpoint, name: state.spec.name.clone(), cost, cached })
+    }
+
+    /// Notes that `request` was sent to `endpoint`.
+    pub fn sent(
+        &mut self,
+        now: TimePoint,
+        endpoint: EndpointKey,
+        request: &PlacedRequest,
+    ) -> WorkTicket {
+        let mut ticket = WorkTicket { endpoint, prefill: 0.0, started: false };
+        let Some(state) = self.endpoints.get_mut(endpoint) else { return ticket };
+        let held: u32 = request
+            .shared_parts()
+            .iter()
+            .take_while(|part| state.holds(now, part.id))
+            .map(|part| part.tokens)
+            .sum();
+        ticket.prefill = f64::from(request.prompt_tokens.saturating_sub(held));
+        state.prefill += ticket.prefill;
+        state.in_flight += 1;
+        for part in request.shared_parts() {
+            state.note_part(now, part.id);
+        }
+        ticket
+    }
+
+    /// Notes the first token of an answer.
+    pub fn started(&mut self, ticket: &mut WorkTicket) {
+        if ticket.started {
+            return;
+        }
+        ticket.started = true;
+        if let Some(state) = self.endpoints.get_mut(ticket.endpoint) {
+            state.prefill = (state.prefill - ticket.prefill).max(0.0);
+            state.note_success();
+        }
+    }
+
+    /// Notes that a request has left its endpoint.
+    pub fn ended(&mut self, ticket: &mut WorkTicket) {
+        let Some(state) = self.endpoints.get_mut(ticket.endpoint) else { return };
+        if !ticket.started {
+            state.prefill = (state.prefill - ticket.prefill).max(0.0);
+        }
+        ticket.started = true;
+        state.in_flight = state.in_flight.saturating_sub(1);
+    }
+
+    /// Notes what an endpoint said of its load.
+    pub fn note_sample(&mut self, now: TimePoint, endpoint: EndpointKey, sample: EndpointSample) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.note_sample(now, sample);
+        }
+    }
+
+    /// Notes that an endpoint was not reached or lost a request: it rests for a while.
+    pub fn note_failure(&mut self, now: TimePoint, endpoint: EndpointKey) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.note_failure(now);
+        }
+    }
+
+    fn cost(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
+        let prompt = f64::from(request.prompt_tokens);
+        let work = state.prefill
+            + REQUEST_WEIGHT * state.load(now)
+            + WAITING_WEIGHT * f64::from(state.waiting(now));
+        let long = request.prompt_tokens >= LONG_PROMPT;
+        let mixed = match (long, state.takes_long) {
+            (true, false) => f64::from(u32::MAX),
+            (false, true) if request.prompt_tokens > 0 => MIXED_COST,
+            _ => 0.0,
+        };
+        let far = *state.spec.domain != *self.domain;
+        let distance = if far { DISTANCE_BASE + DISTANCE_WEIGHT * prompt } else { 0.0 };
+        work + mixed + distance + self.reread(state, request)
+    }
+
+    /// Returns the cost of the shared parts that `state` probably does not hold.
+    ///
+    /// All entries agree on the endpoint that should hold a part without asking each other: the
+    /// one that the part's and the endpoint's names hash highest for.
+    fn reread(&self, state: &EndpointState, request: &PlacedRequest) -> f64 {
+        let Some(part) = request.affinity_part() else { return 0.0 };
+        let long = request.prompt_tokens >= LONG_PROMPT;
+        let score = |state: &EndpointState| mix(part.id, hash_text(&state.spec.name));
+        let own = score(state);
+        let higher = self
+            .endpoints
+            .values()
+            .filter(|other| {
+                *other.spec.service == *state.spec.service
+                    && !other.spec.leaving
+                    && other.takes_long == long
+                    && score(other) > own
+            })
+            .count();
+        if higher == 0 && state.takes_long == long {
+            return 0.0;
+        }
+        // The second in the order takes over first, so that few endpoints hold a part.
+        let far = 1.0 + 0.1 * higher.min(5) as f64;
+        REREAD_WEIGHT * far * f64::from(request.shared_tokens())
+    }
+
+    /// Decides anew which endpoints take long prompts.
+    ///
+    /// The others are spread over the failure domains. All entries that know the same endpoints
+    /// divide them the same way.
+    fn divide(&mut self) {
+        let mut services: HashMap<Box<str>, Vec<(EndpointKey, u64, Box<str>)>> = HashMap::new();
+        for (key, state) in self.endpoints.iter().filter(|(_, state)| !state.spec.leaving) {
+            let hash = hash_text(&state.spec.name);
+            let row = (key, hash, state.spec.domain.clone());
+            services.entry(state.spec.service.clone()).or_default().push(row);
+        }
+        for mut rows in services.into_values() {
+            rows.sort_unstable_by_key(|row| row.1);
+            let long = (rows.len() as f64 * LONG_SHARE).ceil() as usize;
+            let short = if rows.len() < MIN_DIVIDED { 0 } else { rows.len() - long };
+            let mut seen: HashMap<Box<str>, usize> = HashMap::new();
+            let mut order: Vec<(usize, u64, EndpointKey)> = rows
+                .into_iter()
+                .map(|(key, hash, domain)| {
+                    let turn = seen.entry(domain).or_default();
+                    *turn += 1;
+                    (*turn, hash, key)
+                })
+                .collect();
+            order.sort_unstable_by_key(|row| (row.0, row.1));
+            for (index, (_, _, key)) in order.into_iter().enumerate() {
+                self.endpoints[key].takes_long = index >= short;
+            }
+        }
+    }
+}
--- a/crates/kernel/src/route/mod.rs
+++ b/crates/kernel/src/route/mod.rs
@@ -15,7 +15,7 @@
 mod straggler;
 mod view;
 
-pub(crate) use self::pool::mix;
+pub(crate) use self::pool::{hash_text, mix};
 pub use self::{
     entry::EntryRouter,
     message::{
