Use an endpoint that may have lapsed only where no other is

Ruled out: late reading; the removal was read within 400 ms. Now a lapsed endpoint is the last resort, and one that had said that it leaves is gone at once. The book of endpoints is kernel code with tests.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -78,7 +78,9 @@
     async fn read_anew(&mut self, state: &GatewayState) -> Result<(), StoreError> {
         let batch = (state.store.newest)(self.topic).await?;
         if self.topic == StoreTopic::Endpoints {
-            state.book().keep_listed(clock::now(), &batch.records, batch.end);
+            let listed: Vec<&str> = batch.records.iter().map(|record| &*record.key).collect();
+            let changes = state.book().keep_listed(clock::now(), &listed, batch.end);
+            state.apply_changes(changes);
         }
         self.take(state, batch);
         Ok(())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,6 @@
 mod clock;
 mod dispatcher;
 mod duty;
-mod endpoint_book;
 mod error;
 mod event_splitter;
 pub mod fleet_config;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -70,7 +70,7 @@
     async fn news(self, _: context::Context, config_offset: Option<u64>) -> PeerNews {
         let record = self.state.config_record();
         let config = record.filter(|record| config_offset.is_none_or(|at| record.offset > at));
-        let endpoints = self.state.book().records().into_iter().map(PeerRecord::from).collect();
+        let endpoints = self.state.endpoint_records().into_iter().map(PeerRecord::from).collect();
         PeerNews { config: config.map(PeerRecord::from), endpoints }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,14 +13,13 @@
 use pimentorock_kernel::{
     duty::UsageTally,
     ids::{EndpointKey, ProcessId},
-    place::{PlacedEndpoint, PlacementTable},
+    place::{BookChange, EndpointBook, PlacedEndpoint, PlacementTable},
     retry::{self, RetryBudget, RetryCase, RetryDecision},
     time::TimePoint,
 };
 
 use crate::{
     clock,
-    endpoint_book::{BookChange, EndpointBook},
     fleet_config::FleetConfig,
     link_pool::LinkPool,
     logs::part,
@@ -50,6 +49,8 @@
     /// The record of the configuration in force, for peers that the store refuses.
     config: Mutex<Option<StoreRecord>>,
     book: Mutex<EndpointBook>,
+    /// The newest record of each endpoint, for peers that the store refuses.
+    endpoints: Mutex<HashMap<Box<str>, StoreRecord>>,
     table: Mutex<PlacementTable>,
     budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
     tally: Mutex<UsageTally>,
@@ -75,7 +76,8 @@
             metrics: GatewayMetrics::new(),
             draining: AtomicBool::new(false),
             config: Mutex::new(None),
-            book: Mutex::new(EndpointBook::default()),
+            book: Mutex::new(EndpointBook::new()),
+            endpoints: Mutex::new(HashMap::new()),
             budgets: Mutex::new(HashMap::new()),
             peers: Mutex::new(Vec::new()),
             live_entries: AtomicUsize::new(known),
@@ -105,7 +107,7 @@
 
     /// Returns whether this host should get new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        let known = self.routes.load().is_some() && self.book().len() > 0;
+        let known = self.routes.load().is_some() && !self.book().is_empty();
         known && !self.draining.load(Ordering::Relaxed)
     }
 
@@ -143,13 +145,29 @@
                     let decoded = (self.store.decode_endpoint)(record);
                     decoded.inspect_err(|error| note_unreadable(record, error)).ok()
                 });
-                let change = self.book().take(clock::now(), record, entry);
+                let now = clock::now();
+                let change = self.book().take(now, &record.key, record.offset, entry);
+                self.keep_record(record);
                 self.apply_changes(change.into_iter().collect());
             }
             StoreTopic::Shares | StoreTopic::Duty => {}
         }
     }
 
+    /// Returns the newest record of each endpoint.
+    pub(crate) fn endpoint_records(&self) -> Vec<StoreRecord> {
+        let endpoints = self.endpoints.lock().expect("no holder of the lock panics");
+        endpoints.values().cloned().collect()
+    }
+
+    fn keep_record(&self, record: &StoreRecord) {
+        let mut endpoints = self.endpoints.lock().expect("no holder of the lock panics");
+        let known = endpoints.get(&record.key);
+        if known.is_none_or(|known| known.offset < record.offset) {
+            endpoints.insert(record.key.clone(), record.clone());
+        }
+    }
+
     /// Returns where other entries are reached.
     pub(crate) fn peers(&self) -> Vec<SocketAddr> {
         let mut peers = self.peers.lock().expect("no holder of the lock panics").clone();
@@ -183,6 +201,10 @@
                         leaving: entry.leaving,
                     });
                 }
+                BookChange::Lapsed(name) => {
+                    log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint lapsed");
+                    self.table().lapse(&name);
+                }
                 BookChange::Gone(name) => {
                     log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint gone");
                     self.table().remove(&name);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,10 +1,10 @@
 //! The platform's store and its interface for usage reports, as an adapter provides them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use pimentorock_kernel::{duty::UsageReport, time::TimePoint};
+use pimentorock_kernel::{duty::UsageReport, place::EndpointEntry, time::TimePoint};
 
 use crate::fleet_config::FleetConfig;
 
@@ -62,23 +62,6 @@
     Garbled(Box<str>),
 }
 
-/// An endpoint as it describes itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EndpointEntry {
-    /// Service that it runs.
-    pub service: Box<str>,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: Box<str>,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Wall-clock milliseconds at its start, if it says so.
-    pub started_ms: Option<u64>,
-}
-
 /// Result of a call.
 pub type StoreResult<T> = BoxFuture<'static, Result<T, StoreError>>;
 
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -53,6 +53,8 @@
     pub(super) prefill: f64,
     /// Whether long prompts go here.
     pub(super) takes_long: bool,
+    /// Whether it may be gone, so that others come first.
+    pub(super) lapsed: bool,
     sample: Option<(TimePoint, EndpointSample, u32)>,
     parts: HashMap<u64, TimePoint>,
     failures: u32,
@@ -66,6 +68,7 @@
             in_flight: 0,
             prefill: 0.0,
             takes_long: true,
+            lapsed: false,
             sample: None,
             parts: HashMap::new(),
             failures: 0,
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -4,15 +4,17 @@
 //! their load in their answers, and which of its sends failed. [`PlacementTable`] weighs four
 //! things, all in prompt tokens that an engine would have to read: the work in front of the
 //! request, shared prompt parts that the endpoint does not hold, the distance, and long prompts
-//! beside short streams, whose tokens they delay.
+//! beside short streams, whose tokens they delay. Which endpoints there are, [`EndpointBook`] says.
 
 mod endpoint;
+mod endpoint_book;
 mod request;
 mod table;
 mod work;
 
 pub use self::{
     endpoint::{EndpointSample, PlacedEndpoint},
+    endpoint_book::{BookChange, EndpointBook, EndpointEntry, LAPSE_GRACE},
     request::{PlacedRequest, PromptPart},
     table::{PlaceChoice, PlacementTable},
     work::WorkTicket,
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -42,6 +42,9 @@
 /// Cost for a short prompt of an endpoint that takes long ones, in prompt tokens.
 const MIXED_COST: f64 = 6_000.0;
 
+/// An endpoint to be divided: its key, the hash of its name, and its failure domain.
+type DividedRow = (EndpointKey, u64, Box<str>);
+
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlaceChoice {
@@ -79,6 +82,7 @@
         let key = match known.filter(|key| self.endpoints.contains_key(*key)) {
             Some(key) => {
                 self.endpoints[key].spec = spec;
+                self.endpoints[key].lapsed = false;
                 key
             }
             None => {
@@ -92,6 +96,13 @@
         key
     }
 
+    /// Leaves an endpoint for the case that no other is there, since it may be gone.
+    pub fn lapse(&mut self, name: &str) {
+        if let Some(state) = self.names.get(name).and_then(|key| self.endpoints.get_mut(*key)) {
+            state.lapsed = true;
+        }
+    }
+
     /// Removes an endpoint.
     pub fn remove(&mut self, name: &str) {
         if let Some(key) = self.names.remove(name) {
@@ -131,7 +142,10 @@
             .endpoints
             .iter()
             .filter(open)
-            .map(|(key, state)| (state.rests(now), self.cost(now, state, request), key))
+            .map(|(key, state)| {
+                let order = (state.lapsed, state.rests(now));
+                (order, self.cost(now, state, request), key)
+            })
             .min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("costs are numbers"));
         let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::NoEndpoint) };
         let state = &self.endpoints[endpoint];
@@ -247,7 +261,7 @@
     /// The others are spread over the failure domains. All entries that know the same endpoints
     /// divide them the same way.
     fn divide(&mut self) {
-        let mut services: HashMap<Box<str>, Vec<(EndpointKey, u64, Box<str>)>> = HashMap::new();
+        let mut services: HashMap<Box<str>, Vec<DividedRow>> = HashMap::new();
         for (key, state) in self.endpoints.iter().filter(|(_, state)| !state.spec.leaving) {
             let hash = hash_text(&state.spec.name);
             let row = (key, hash, state.spec.domain.clone());
