--- a/crates/daemon/src/entry/dispatcher.rs
+++ b/crates/daemon/src/entry/dispatcher.rs
@@ -275,6 +275,7 @@
         let case = RetryCase {
             outcome,
             idempotent: self.request.idempotent,
+            retry_failures: false,
             answer_begun: self.caller.has_begun(),
             attempts: self.attempts,
             time_left: self.spec.time_left(self.state.parts.clock.now()),
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     clock,
-    fleet_config::RouteSpec,
+    fleet_config::{RouteKind, RouteSpec},
     link::{HttpLink, LinkBody},
     logs::part,
     state::GatewayState,
@@ -226,12 +226,25 @@
         self.pause_before_next(RunOutcome::Lost).await
     }
 
+    /// Notes that the endpoint itself answered with a failure, and asks for leave to send again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request must not be sent again.
+    pub(crate) async fn failed(&mut self, work: &WorkGuard, status: StatusCode) -> Result<(), GiveUp> {
+        self.runs += 1;
+        self.excluded.push(work.ticket.endpoint);
+        self.last_failure = Some(format!("the endpoint answered {status}").into());
+        self.pause_before_next(RunOutcome::Failed).await
+    }
+
     /// Decides whether the request is sent again, and waits as long as that decision says.
     async fn pause_before_next(&mut self, outcome: RunOutcome) -> Result<(), GiveUp> {
         let request = Arc::clone(&self.request);
         let case = RetryCase {
             outcome,
             idempotent: request.route.is_idempotent() && self.runs < request.route.max_runs,
+            retry_failures: request.route.kind == RouteKind::Idempotent,
             answer_begun: false,
             attempts: self.sends.max(1),
             time_left: request.time_left(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,6 +145,9 @@
     if !said.closes {
         dispatcher.state.pool.put(&work.endpoint, body.link);
     }
+    if head.status.is_server_error() && dispatcher.failed(&work, head.status).await.is_ok() {
+        return Err(None);
+    }
     let request = &dispatcher.request;
     let outcome = if head.status.is_success() { "served" } else { "failed_at_endpoint" };
     dispatcher.state.metrics.note_request(&request.route.name, outcome);
--- a/crates/kernel/src/retry/decision.rs
+++ b/crates/kernel/src/retry/decision.rs
@@ -19,6 +19,8 @@
     pub outcome: RunOutcome,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether a failure that an endpoint answered is worth another endpoint.
+    pub retry_failures: bool,
     /// Whether bytes of an answer went to the caller.
     pub answer_begun: bool,
     /// Attempts so far, at least 1.
@@ -83,6 +85,9 @@
         RunOutcome::Lost if case.idempotent => Ok(DecisionReason::Idempotent),
         RunOutcome::Lost => Err(DecisionReason::OutcomeUnknown),
         RunOutcome::Cancelled => Err(DecisionReason::CallerGone),
+        RunOutcome::Failed if case.idempotent && case.retry_failures => {
+            Ok(DecisionReason::Idempotent)
+        }
         RunOutcome::Completed | RunOutcome::Failed => Err(DecisionReason::EndpointAnswered),
     }
 }
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -23,7 +23,9 @@
 fn naive_allowed(case: &RetryCase) -> bool {
     let proved_not_run = case.outcome == RunOutcome::NotRun;
     let lost_and_idempotent = case.outcome == RunOutcome::Lost && case.idempotent;
-    (proved_not_run || lost_and_idempotent) && !case.answer_begun && case.attempts < MAX_ATTEMPTS
+    let failed_and_idempotent =
+        case.outcome == RunOutcome::Failed && case.idempotent && case.retry_failures;
+    (proved_not_run || lost_and_idempotent || failed_and_idempotent) && !case.answer_begun && case.attempts < MAX_ATTEMPTS
 }
 
 #[test]
@@ -41,6 +43,7 @@
             let case = RetryCase {
                 outcome: OUTCOMES[below(5) as usize],
                 idempotent: below(2) == 0,
+                retry_failures: below(2) == 0,
                 answer_begun: below(5) == 0,
                 attempts: 1 + below(u64::from(MAX_ATTEMPTS)) as u32,
                 time_left: Duration::from_millis(below(4000)),
@@ -74,6 +77,7 @@
     let case = RetryCase {
         outcome: RunOutcome::NotRun,
         idempotent: false,
+        retry_failures: false,
         answer_begun: false,
         attempts: 1,
         time_left: Duration::from_secs(10),
@@ -92,6 +96,7 @@
         let case = RetryCase {
             outcome: RunOutcome::Lost,
             idempotent: true,
+            retry_failures: false,
             answer_begun: false,
             attempts: 1,
             time_left: Duration::from_secs(10),
--- a/crates/kernel/tests/route_golden.rs
+++ b/crates/kernel/tests/route_golden.rs
@@ -171,6 +171,7 @@
         let case = RetryCase {
             outcome,
             idempotent,
+            retry_failures: false,
             answer_begun: false,
             attempts: 1,
             time_left: spec.time_left(self.now),
--- a/crates/lab/src/experiment/attempt.rs
+++ b/crates/lab/src/experiment/attempt.rs
@@ -115,6 +115,7 @@
         let case = RetryCase {
             outcome,
             idempotent: spec.idempotent,
+            retry_failures: false,
             answer_begun: request.first.is_some(),
             attempts: request.attempts,
             time_left: spec.time_left(self.now),
