Let one entry read the store for all, and exchange load through it

Now the first entry in the order of addresses reads, the others ask it several times a second, tell their load and counts and hear the others'. Whoever cannot reach its hub, or whose hub has lost the store, reads itself. Ruled out: one hub a failure domain, which saves nothing where a domain has one entry.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -1,32 +1,39 @@
 //! Shares what this entry counted, and takes part in reporting usage.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use pimentorock_kernel::{
-    duty::{DutyHolder, DutyRecord, UsageShare, WindowBook},
+    duty::{DutyHolder, DutyRecord, WindowBook},
+    hub::HubChoice,
     time::TimePoint,
 };
-use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     clock,
     logs::part,
+    peer::EntryShare,
     state::GatewayState,
     store::{StoreError, StoreRecord, StoreTopic},
 };
 
 /// Time between shares while requests are counted.
-const SHARE_PERIOD: Duration = Duration::from_millis(1_000);
+const SHARE_PERIOD: Duration = Duration::from_millis(450);
 
-/// Time behind the end of a window after which its last counts are shared.
-const SHARE_DELAY: Duration = Duration::from_millis(150);
+/// Age at which a share can matter to no window that is still open.
+const SHARE_LIFE: Duration = Duration::from_secs(30);
 
 /// Time between looks at the duty.
 const DUTY_PERIOD: Duration = Duration::from_millis(500);
 
+/// Age up to which a share shows that its entry is there.
+const NEW_SHARE: Duration = Duration::from_secs(6);
+
+/// Time between looks of an entry that is not the hub, and that may have to take over.
+const STANDBY_PERIOD: Duration = Duration::from_secs(4);
+
 /// Longest time that one report may be on its way.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -36,48 +43,76 @@
 /// Key of the only record of the duty.
 const DUTY_KEY: &str = "usage";
 
-/// What an entry shares with the others.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct EntryShare {
-    /// Where peers reach it.
-    peer: SocketAddr,
-    /// What it counted.
-    usage: UsageShare,
+impl GatewayState {
+    /// Returns what this entry counted, if that is due to be shared.
+    ///
+    /// It is due when counts changed some time ago, and right behind the end of a window.
+    pub(crate) fn due_share(&self) -> Option<EntryShare> {
+        let now = clock::now();
+        let wall_ms = clock::wall_ms();
+        let window = self.window_ms();
+        let usage = self.tally().share(wall_ms);
+        let shared = self.shared();
+        let due = shared.as_ref().is_none_or(|(at, last)| {
+            let changed = last.counts != usage.counts && now.since(*at) >= SHARE_PERIOD;
+            changed || last.until_ms / window != wall_ms / window
+        });
+        due.then(|| EntryShare { peer: self.settings.peers, usage })
+    }
+
+    /// Notes that the hub, or the store, has what this entry counted.
+    pub(crate) fn note_shared(&self, share: EntryShare) {
+        *self.shared() = Some((clock::now(), share.usage));
+    }
+
+    fn window_ms(&self) -> u64 {
+        (self.settings.usage_window.as_millis() as u64).max(1)
+    }
 }
 
-/// Shares what was counted, until `stop` is cancelled and once more then.
+/// Writes what this entry and those that ask it counted to the store, until `stop` is cancelled
+/// and once more then.
 pub(crate) async fn share(state: Arc<GatewayState>, stop: CancellationToken) {
-    let mut last: Option<UsageShare> = None;
-    while !stop.is_cancelled() {
+    let mut written: HashMap<Box<str>, EntryShare> = HashMap::new();
+    let mut stopping = false;
+    while !stopping {
         tokio::select! {
-            () = stop.cancelled() => {}
-            () = sleep(next_share(&state)) => {}
+            () = stop.cancelled() => stopping = true,
+            () = sleep(SHARE_PERIOD) => {}
         }
-        let share = state.tally().share(clock::wall_ms());
-        if is_news(&state, last.as_ref(), &share) && send_share(&state, &share).await {
-            last = Some(share);
+        if let Some(share) = own_share(&state, stopping) {
+            let key = share.usage.process.to_string().into();
+            state.view().shares.insert(key, share);
+        }
+        let shares = recent_shares(&state);
+        if shares != written && !shares.is_empty() && write_shares(&state, &shares).await {
+            written = shares;
         }
     }
 }
 
-/// Returns the time to the next share: a period, or right behind the end of a window.
-fn next_share(state: &GatewayState) -> Duration {
-    let window = state.settings.usage_window.as_millis() as u64;
-    let to_end = window - clock::wall_ms() % window.max(1);
-    SHARE_PERIOD.min(Duration::from_millis(to_end) + SHARE_DELAY)
+/// Returns this entry's share if no hub takes it.
+fn own_share(state: &GatewayState, stopping: bool) -> Option<EntryShare> {
+    let takes_itself = state.roster().hub(clock::now()) == HubChoice::Own;
+    if !takes_itself && !stopping {
+        return None;
+    }
+    let share = state.due_share()?;
+    state.note_shared(share.clone());
+    Some(share)
 }
 
-/// Returns whether counts changed, or a window ended since the last share.
-fn is_news(state: &GatewayState, last: Option<&UsageShare>, share: &UsageShare) -> bool {
-    let window = state.settings.usage_window.as_millis() as u64;
-    last.is_none_or(|last| {
-        last.counts != share.counts || last.until_ms / window != share.until_ms / window
-    })
+/// Returns the shares that may still matter, and forgets the others.
+fn recent_shares(state: &GatewayState) -> HashMap<Box<str>, EntryShare> {
+    let oldest = clock::wall_ms().saturating_sub(SHARE_LIFE.as_millis() as u64);
+    let mut view = state.view();
+    view.shares.retain(|_, share| share.usage.until_ms >= oldest);
+    view.shares.clone()
 }
 
-async fn send_share(state: &GatewayState, usage: &UsageShare) -> bool {
-    let share = EntryShare { peer: state.settings.peers, usage: usage.clone() };
-    let value = match serde_json::to_vec(&share) {
+async fn write_shares(state: &GatewayState, shares: &HashMap<Box<str>, EntryShare>) -> bool {
+    let shares: Vec<&EntryShare> = shares.values().collect();
+    let value = match serde_json::to_vec(&shares) {
         Ok(value) => Bytes::from(value),
         Err(error) => {
             log::warn!(target: part::DUTY, error = error.to_string(); "counts have no JSON form");
@@ -140,23 +175,22 @@
         self.send_reports().await;
     }
 
-    fn window_ms(&self) -> u64 {
-        self.state.settings.usage_window.as_millis() as u64
-    }
-
     fn oldest_due(&self) -> u64 {
-        (clock::wall_ms() / self.window_ms()).saturating_sub(DUE_WINDOWS)
+        (clock::wall_ms() / self.state.window_ms()).saturating_sub(DUE_WINDOWS)
     }
 
     /// Returns whether a window may have to be closed or reported, or peers may be unknown.
     ///
-    /// Entries that do not hold the duty look seldom.
+    /// An entry that neither holds the duty nor is the hub looks seldom.
     fn is_due(&self) -> bool {
-        let current = clock::wall_ms() / self.window_ms();
+        let now = clock::now();
+        let current = clock::wall_ms() / self.state.window_ms();
         let open = self.holder.last_closed().is_none_or(|last| last + 1 < current);
         let mine = self.holder.holder().is_some_and(|(holder, _)| *holder == self.state.process);
-        let seldom = clock::now().since(self.read_shares) >= 5 * DUTY_PERIOD;
-        !self.opened || (open && (mine || seldom))
+        let hub = self.state.roster().hub(now) == HubChoice::Own;
+        let standby = self.state.roster().is_standby(now);
+        let seldom = now.since(self.read_shares) >= STANDBY_PERIOD;
+        !self.opened || (open && (mine || (seldom && (hub || standby))))
     }
 
     /// Reads the duty's newest record and what other entries share.
@@ -199,17 +233,15 @@
     }
 
     fn take_shares(&mut self, records: &[StoreRecord]) {
-        let mut peers: HashMap<Box<str>, (u64, SocketAddr)> = HashMap::new();
+        let now = clock::now();
         for record in records {
             let Some(value) = &record.value else { continue };
-            match serde_json::from_slice::<EntryShare>(value) {
-                Ok(share) => {
-                    let process = &share.usage.process;
-                    let newest = peers.entry(process.name.clone()).or_insert((0, share.peer));
-                    if process.incarnation >= newest.0 {
-                        *newest = (process.incarnation, share.peer);
+            match serde_json::from_slice::<Vec<EntryShare>>(value) {
+                Ok(shares) => {
+                    for share in shares {
+                        self.note_peer(now, &share);
+                        self.book.take(share.usage);
                     }
-                    self.book.take(share.usage);
                 }
                 Err(error) => {
                     let error = error.to_string();
@@ -217,8 +249,14 @@
                 }
             }
         }
-        self.state.set_live_entries(self.book.live(clock::wall_ms()));
-        self.state.set_peers(peers.into_values().map(|(_, peer)| peer).collect());
+    }
+
+    /// Notes an entry that shared lately, so that one that has just started finds its hub.
+    fn note_peer(&self, now: TimePoint, share: &EntryShare) {
+        let age = clock::wall_ms().saturating_sub(share.usage.until_ms);
+        if age < NEW_SHARE.as_millis() as u64 {
+            self.state.roster().note_heard(now, share.peer);
+        }
     }
 
     /// Closes the windows that may be closed, or claims what a lost holder left.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,119 +1,136 @@
-//! Follows the configuration and the endpoints in the store.
+//! Follows the configuration and the endpoints, in the store or through the hub.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use pimentorock_kernel::time::TimePoint;
-use tokio::time::{Instant, sleep};
+use pimentorock_kernel::{
+    hub::{HubChoice, MAX_STORE_AGE, exchange_period},
+    time::TimePoint,
+};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     clock,
     logs::part,
-    peer,
+    peer::PeerClients,
     state::GatewayState,
     store::{RecordBatch, StoreError, StoreTopic},
 };
 
-/// Longest wait of one read for a new configuration. A connection that went silent is noticed
-/// that much later.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest wait of one read for a new configuration; the hub answers for its age.
+const CONFIG_WAIT: Duration = Duration::from_millis(500);
 
-/// Time between reads of the endpoints; a heartbeat of theirs is about as long.
+/// Time between reads of the endpoints; a heartbeat of theirs is longer.
 const ENDPOINTS_PERIOD: Duration = Duration::from_millis(400);
 
 /// Time between tries while the store does not answer.
 const RETRY_PERIOD: Duration = Duration::from_millis(250);
 
-/// Time without an answer of the store after which peers are asked.
-const PEER_AFTER: Duration = Duration::from_millis(900);
+/// Time between looks whether this entry must read the store.
+const IDLE_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time between two calls of a hub to another entry, by which it makes itself known.
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
 
-/// Time between questions to peers.
-const PEER_PERIOD: Duration = Duration::from_millis(600);
+/// Time between questions to other entries while neither hub nor store tells anything.
+const SEEK_PERIOD: Duration = Duration::from_millis(500);
 
-/// Where the reading of one topic stands.
-#[derive(Debug)]
-struct TopicCursor {
+/// Reads one topic as long as this entry has to.
+struct TopicReader {
+    state: Arc<GatewayState>,
     topic: StoreTopic,
-    /// Offset of the next record; `None` before the first read.
-    next: Option<u64>,
-    answered: TimePoint,
+    /// Longest wait of one read.
+    wait: Duration,
+    /// Time between reads.
+    period: Duration,
     lost: bool,
 }
 
-impl TopicCursor {
-    fn new(topic: StoreTopic) -> TopicCursor {
-        TopicCursor { topic, next: None, answered: clock::now(), lost: false }
+impl TopicReader {
+    async fn run(mut self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            let reads = self.state.view().reads_store(clock::now());
+            let pause = match reads {
+                false => IDLE_PERIOD,
+                true => match self.advance().await {
+                    Ok(()) => self.period,
+                    Err(_) => RETRY_PERIOD,
+                },
+            };
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = sleep(pause) => {}
+            }
+        }
     }
 
     /// Reads what is new.
-    async fn advance(&mut self, state: &GatewayState, wait: Duration) -> Result<(), StoreError> {
-        let outcome = match self.next {
-            Some(next) => self.read_on(state, next, wait).await,
-            None => self.read_anew(state).await,
+    async fn advance(&mut self) -> Result<(), StoreError> {
+        let asked = clock::now();
+        let next = self.state.view().next(self.topic);
+        let outcome = match next {
+            Some(next) => self.read_on(next).await,
+            None => self.read_anew().await,
         };
-        state.metrics.note_store_call(topic_name(self.topic), outcome.is_ok());
+        self.state.metrics.note_store_call(topic_name(self.topic), outcome.is_ok());
         match &outcome {
-            Ok(()) => self.note_answer(state),
+            Ok(()) => self.note_answer(asked),
             Err(error) => self.note_failure(error),
         }
         outcome
     }
 
-    async fn read_on(
-        &mut self,
-        state: &GatewayState,
-        next: u64,
-        wait: Duration,
-    ) -> Result<(), StoreError> {
-        match (state.store.read)(self.topic, next, wait).await {
+    async fn read_on(&self, next: u64) -> Result<(), StoreError> {
+        match (self.state.store.read)(self.topic, next, self.wait).await {
             Ok(batch) => {
-                self.take(state, batch);
+                self.take(&batch, false);
                 Ok(())
             }
-            Err(StoreError::Trimmed) => self.read_anew(state).await,
+            Err(StoreError::Trimmed) => self.read_anew().await,
             Err(error) => Err(error),
         }
     }
 
-    async fn read_anew(&mut self, state: &GatewayState) -> Result<(), StoreError> {
-        let batch = (state.store.newest)(self.topic).await?;
+    async fn read_anew(&self) -> Result<(), StoreError> {
+        let batch = (self.state.store.newest)(self.topic).await?;
         if self.topic == StoreTopic::Endpoints {
             let listed: Vec<&str> = batch.records.iter().map(|record| &*record.key).collect();
-            let changes = state.book().keep_listed(clock::now(), &listed, batch.end);
-            state.apply_changes(changes);
+            let changes = self.state.book().keep_listed(clock::now(), &listed, batch.end);
+            self.state.apply_changes(changes);
         }
-        self.take(state, batch);
+        self.take(&batch, true);
         Ok(())
     }
 
-    fn take(&mut self, state: &GatewayState, batch: RecordBatch) {
+    fn take(&self, batch: &RecordBatch, whole: bool) {
         if self.topic == StoreTopic::Endpoints {
-            state.book().note_contact(clock::now());
+            self.state.book().note_contact(clock::now());
         }
         for record in &batch.records {
-            state.take_record(self.topic, record, "store");
+            self.state.take_record(self.topic, record, "store");
         }
-        let behind = batch.records.iter().map(|record| record.offset + 1).max();
-        let known = self.next.unwrap_or(0);
         // A read that was cut at its size ends before the topic does.
-        let next = behind.unwrap_or(known).max(known);
-        self.next = Some(if self.next.is_none() { batch.end.max(next) } else { next });
+        let behind = batch.records.iter().map(|record| record.offset + 1).max();
+        let next = if whole { Some(batch.end) } else { behind };
+        if let Some(next) = next.filter(|_| self.topic == StoreTopic::Endpoints) {
+            self.state.view().advance_endpoints(next);
+        }
     }
 
-    fn note_answer(&mut self, _state: &GatewayState) {
+    fn note_answer(&mut self, asked: TimePoint) {
         if self.lost {
             log::info!(target: part::FOLLOW, topic = topic_name(self.topic); "store is back");
         }
         self.lost = false;
-        self.answered = clock::now();
+        // A read that waited was current until it was answered.
+        let at = if self.wait.is_zero() { asked } else { clock::now() };
+        self.state.view().note_current(self.topic, at);
     }
 
     fn note_failure(&mut self, error: &StoreError) {
         if !self.lost {
             log::warn!(
-                target: part::FOLLOW,
-                topic = topic_name(self.topic), error = error.to_string(),
-                silent_ms = clock::now().since(self.answered).as_millis() as u64;
+                target: part::FOLLOW, topic = topic_name(self.topic), error = error.to_string();
                 "store lost"
             );
         }
@@ -130,56 +147,82 @@
     }
 }
 
-/// Follows the configuration until `stop` is cancelled.
+/// Reads the configuration until `stop` is cancelled.
 pub(crate) async fn follow_config(state: Arc<GatewayState>, stop: CancellationToken) {
-    follow(&state, TopicCursor::new(StoreTopic::Config), CONFIG_WAIT, Duration::ZERO, stop).await;
+    let topic = StoreTopic::Config;
+    let reader =
+        TopicReader { state, topic, wait: CONFIG_WAIT, period: Duration::ZERO, lost: false };
+    reader.run(stop).await;
 }
 
-/// Follows the endpoints until `stop` is cancelled.
+/// Reads the endpoints until `stop` is cancelled.
 pub(crate) async fn follow_endpoints(state: Arc<GatewayState>, stop: CancellationToken) {
-    let cursor = TopicCursor::new(StoreTopic::Endpoints);
-    follow(&state, cursor, Duration::ZERO, ENDPOINTS_PERIOD, stop).await;
+    let topic = StoreTopic::Endpoints;
+    let reader =
+        TopicReader { state, topic, wait: Duration::ZERO, period: ENDPOINTS_PERIOD, lost: false };
+    reader.run(stop).await;
 }
 
-async fn follow(
-    state: &GatewayState,
-    mut cursor: TopicCursor,
-    wait: Duration,
-    period: Duration,
-    stop: CancellationToken,
-) {
-    let mut asked = Instant::now();
+/// Drops endpoints that did not come back and connections that are too old.
+pub(crate) async fn tidy(state: Arc<GatewayState>, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        let gone = state.book().expire(clock::now());
+        state.apply_changes(gone);
+        state.pool.prune();
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(ENDPOINTS_PERIOD) => {}
+        }
+    }
+}
+
+/// Exchanges news with the hub, or as the hub with others, until `stop` is cancelled.
+pub(crate) async fn exchange(state: Arc<GatewayState>, stop: CancellationToken) {
+    let mut clients = PeerClients::default();
+    let mut sought = TimePoint::ZERO;
     let mut turn = 0;
     while !stop.is_cancelled() {
-        let pause = match cursor.advance(state, wait).await {
-            Ok(()) => period,
-            Err(_) => RETRY_PERIOD,
+        let now = clock::now();
+        let (hub, entries, stale) = {
+            let view = state.view();
+            let stale = now.since(view.current()) > MAX_STORE_AGE;
+            (view.roster.hub(now), view.roster.entries(now).len(), stale)
         };
-        if cursor.topic == StoreTopic::Endpoints {
-            let gone = state.book().expire(clock::now());
-            state.apply_changes(gone);
-            state.pool.prune();
+        state.set_live_entries(entries);
+        if let HubChoice::Peer(address) = hub {
+            ask(&state, &mut clients, address, true).await;
+        } else {
+            state.note_own_board();
         }
-        let silent = clock::now().since(cursor.answered);
-        if silent >= PEER_AFTER && asked.elapsed() >= PEER_PERIOD {
-            asked = Instant::now();
-            ask_peer(state, turn).await;
+        let period = if stale { SEEK_PERIOD } else { ANNOUNCE_PERIOD };
+        if (hub == HubChoice::Own || stale) && now.since(sought) >= period {
+            sought = now;
             turn += 1;
+            let other = state.view().roster.other(now, turn);
+            if let Some(address) = other {
+                ask(&state, &mut clients, address, false).await;
+            }
         }
         tokio::select! {
             () = stop.cancelled() => return,
-            () = sleep(pause) => {}
+            () = sleep(exchange_period(entries)) => {}
         }
     }
 }
 
-/// Asks one peer after the other what this entry lacks.
-async fn ask_peer(state: &GatewayState, turn: usize) {
-    let peers: Vec<SocketAddr> = state.peers();
-    if peers.is_empty() {
-        return;
-    }
-    if let Some(news) = peer::ask(state, peers[turn % peers.len()]).await {
-        peer::take(state, news);
+async fn ask(
+    state: &GatewayState,
+    clients: &mut PeerClients,
+    address: std::net::SocketAddr,
+    is_hub: bool,
+) {
+    let asked = clock::now();
+    let share = if is_hub { state.due_share() } else { None };
+    let shared = share.clone();
+    if let Some(news) = clients.exchange(state, address, state.report(share)).await {
+        state.take_news(asked, news, is_hub);
+        if let Some(share) = shared {
+            state.note_shared(share);
+        }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod relay;
 mod route_table;
 pub mod settings;
+mod shared_view;
 mod state;
 pub mod store;
 pub mod wire;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,8 +1,9 @@
-//! What entries ask each other while the store refuses one of them.
+//! What entries tell each other: see the kernel's `hub`.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::StreamExt;
+use pimentorock_kernel::{duty::UsageShare, ids::ProcessId, place::LoadRow};
 use serde::{Deserialize, Serialize};
 use tarpc::{
     client, context, serde_transport,
@@ -12,15 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
 
-use crate::{
-    link,
-    logs::part,
-    state::GatewayState,
-    store::{StoreRecord, StoreTopic},
-};
+use crate::{clock, link, logs::part, state::GatewayState, store::StoreRecord};
 
 /// Longest time to connect to a peer and hear from it.
-const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A record of the store as it travels between entries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,20 +40,54 @@
     }
 }
 
-/// What an entry tells a peer.
+/// What an entry counted, and where its peers reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntryShare {
+    /// Where peers reach it.
+    pub(crate) peer: SocketAddr,
+    /// What it counted.
+    pub(crate) usage: UsageShare,
+}
+
+/// What an entry tells another one, and how much of the store it has read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntryReport {
+    /// The entry.
+    pub(crate) process: ProcessId,
+    /// Where peers reach it.
+    pub(crate) peer: SocketAddr,
+    /// Offset of the configuration in force there.
+    pub(crate) config_offset: Option<u64>,
+    /// Offset of the next record of an endpoint; `None` before the first.
+    pub(crate) endpoints_next: Option<u64>,
+    /// What it has at endpoints.
+    pub(crate) loads: Vec<LoadRow>,
+    /// What it counted, if that is to be shared.
+    pub(crate) share: Option<EntryShare>,
+}
+
+/// What the other entry answers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct PeerNews {
-    /// The configuration in force, if it is newer than the peer's.
+pub(crate) struct EntryNews {
+    /// Age of the configuration and endpoints that the entry has, in milliseconds.
+    pub(crate) store_age_ms: u64,
+    /// The configuration in force, if it is newer.
     pub(crate) config: Option<PeerRecord>,
-    /// The newest record of each endpoint.
+    /// Records of endpoints that changed since.
     pub(crate) endpoints: Vec<PeerRecord>,
+    /// Offset of the next record of an endpoint.
+    pub(crate) endpoints_next: Option<u64>,
+    /// What all entries but the asking one have at endpoints.
+    pub(crate) loads: Vec<LoadRow>,
+    /// Where entries are reached.
+    pub(crate) entries: Vec<SocketAddr>,
 }
 
 /// Calls between entries.
 #[tarpc::service]
 pub(crate) trait GatewayPeer {
-    /// Returns what a peer lacks that has the configuration at `config_offset`.
-    async fn news(config_offset: Option<u64>) -> PeerNews;
+    /// Takes what an entry tells and returns what it lacks.
+    async fn exchange(report: EntryReport) -> EntryNews;
 }
 
 /// Answers peers from the state.
@@ -67,11 +97,8 @@
 }
 
 impl GatewayPeer for PeerServer {
-    async fn news(self, _: context::Context, config_offset: Option<u64>) -> PeerNews {
-        let record = self.state.config_record();
-        let config = record.filter(|record| config_offset.is_none_or(|at| record.offset > at));
-        let endpoints = self.state.endpoint_records().into_iter().map(PeerRecord::from).collect();
-        PeerNews { config: config.map(PeerRecord::from), endpoints }
+    async fn exchange(self, _: context::Context, report: EntryReport) -> EntryNews {
+        self.state.answer_peer(report)
     }
 }
 
@@ -100,37 +127,64 @@
     }
 }
 
-/// Asks the peer at `address` what this entry lacks.
-pub(crate) async fn ask(state: &GatewayState, address: SocketAddr) -> Option<PeerNews> {
-    let config_offset = state.config_record().map(|record| record.offset);
-    match tokio::time::timeout(PEER_TIMEOUT, call(address, config_offset)).await {
-        Ok(Ok(news)) => Some(news),
-        Ok(Err(reason)) => {
-            log::info!(target: part::PEER, peer = address.to_string(), reason = reason; "peer lost");
-            None
-        }
-        Err(_) => {
-            log::info!(target: part::PEER, peer = address.to_string(); "peer did not answer");
-            None
+/// Connections to other entries, kept for the next call.
+#[derive(Default)]
+pub(crate) struct PeerClients {
+    open: HashMap<SocketAddr, GatewayPeerClient>,
+    /// Entries that did not answer the last call.
+    lost: Vec<SocketAddr>,
+}
+
+impl PeerClients {
+    /// Exchanges news with the entry at `address`; `None` if it did not answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        state: &GatewayState,
+        address: SocketAddr,
+        report: EntryReport,
+    ) -> Option<EntryNews> {
+        let answered =
+            tokio::time::timeout(PEER_TIMEOUT, self.call(address, report)).await;
+        let outcome = answered.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+        let now = clock::now();
+        match outcome {
+            Ok(news) => {
+                state.roster().note_answer(now, address);
+                if self.lost.contains(&address) {
+                    self.lost.retain(|lost| *lost != address);
+                    log::info!(target: part::PEER, peer = address.to_string(); "peer is back");
+                }
+                Some(news)
+            }
+            Err(reason) => {
+                state.roster().note_failure(now, address);
+                self.open.remove(&address);
+                if !self.lost.contains(&address) {
+                    self.lost.push(address);
+                    log::warn!(target: part::PEER, peer = address.to_string(), reason = reason; "peer lost");
+                }
+                None
+            }
         }
     }
+
+    async fn call(&mut self, address: SocketAddr, report: EntryReport) -> Result<EntryNews, String> {
+        let client = match self.open.get(&address) {
+            Some(client) => client,
+            None => {
+                let client = connect(address).await?;
+                self.open.entry(address).or_insert(client)
+            }
+        };
+        let answer = client.exchange(context::current(), report).await;
+        answer.map_err(|error| error.to_string())
+    }
 }
 
-async fn call(address: SocketAddr, config_offset: Option<u64>) -> Result<PeerNews, String> {
+async fn connect(address: SocketAddr) -> Result<GatewayPeerClient, String> {
     let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
     link::guard(&stream).map_err(|error| error.to_string())?;
     let framed = LengthDelimitedCodec::builder().new_framed(stream);
     let transport = serde_transport::new(framed, Bincode::default());
-    let peer = GatewayPeerClient::new(client::Config::default(), transport).spawn();
-    peer.news(context::current(), config_offset).await.map_err(|error| error.to_string())
-}
-
-/// Takes what a peer told.
-pub(crate) fn take(state: &GatewayState, news: PeerNews) {
-    if let Some(record) = news.config {
-        state.take_record(StoreTopic::Config, &record.into(), "peer");
-    }
-    for record in news.endpoints {
-        state.take_record(StoreTopic::Endpoints, &record.into(), "peer");
-    }
+    Ok(GatewayPeerClient::new(client::Config::default(), transport).spawn())
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -71,6 +71,8 @@
     let tasks = TaskTracker::new();
     tokio::spawn(follow::follow_config(Arc::clone(&state), stop.clone()));
     tokio::spawn(follow::follow_endpoints(Arc::clone(&state), stop.clone()));
+    tokio::spawn(follow::tidy(Arc::clone(&state), stop.clone()));
+    tokio::spawn(follow::exchange(Arc::clone(&state), stop.clone()));
     tokio::spawn(ready::serve(Arc::clone(&state), ready, stop.clone()));
     tokio::spawn(ready::serve(Arc::clone(&state), metrics, stop.clone()));
     tokio::spawn(peer::serve(Arc::clone(&state), peers, stop.clone()));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     sync::{
         Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -11,7 +10,8 @@
 
 use arc_swap::ArcSwapOption;
 use pimentorock_kernel::{
-    duty::UsageTally,
+    duty::{UsageShare, UsageTally},
+    hub::HubRoster,
     ids::{EndpointKey, ProcessId},
     place::{BookChange, EndpointBook, PlacedEndpoint, PlacementTable},
     retry::{self, RetryBudget, RetryCase, RetryDecision},
@@ -26,6 +26,7 @@
     metrics::GatewayMetrics,
     route_table::RouteTable,
     settings::GatewaySettings,
+    shared_view::SharedView,
     store::{FleetStore, StoreError, StoreRecord, StoreTopic},
     wire::WireCodec,
 };
@@ -46,15 +47,13 @@
     pub(crate) metrics: GatewayMetrics,
     /// Whether the process is about to stop.
     pub(crate) draining: AtomicBool,
-    /// The record of the configuration in force, for peers that the store refuses.
-    config: Mutex<Option<StoreRecord>>,
+    view: Mutex<SharedView>,
     book: Mutex<EndpointBook>,
-    /// The newest record of each endpoint, for peers that the store refuses.
-    endpoints: Mutex<HashMap<Box<str>, StoreRecord>>,
     table: Mutex<PlacementTable>,
     budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
     tally: Mutex<UsageTally>,
-    peers: Mutex<Vec<SocketAddr>>,
+    /// What was shared last, and when.
+    shared: Mutex<Option<(TimePoint, UsageShare)>>,
     /// Entries that shared their counts lately, this one among them.
     live_entries: AtomicUsize,
 }
@@ -65,6 +64,10 @@
         let process = ProcessId { name: settings.name.clone(), incarnation: clock::wall_ms() };
         let window_ms = settings.usage_window.as_millis() as u64;
         let known = settings.seeds.len().max(1);
+        let mut roster = HubRoster::new(settings.peers);
+        for seed in &settings.seeds {
+            roster.note_heard(clock::now(), *seed);
+        }
         GatewayState {
             table: Mutex::new(PlacementTable::new(&settings.domain)),
             tally: Mutex::new(UsageTally::new(process.clone(), window_ms)),
@@ -75,11 +78,10 @@
             pool: LinkPool::default(),
             metrics: GatewayMetrics::new(),
             draining: AtomicBool::new(false),
-            config: Mutex::new(None),
+            view: Mutex::new(SharedView::new(roster)),
             book: Mutex::new(EndpointBook::new()),
-            endpoints: Mutex::new(HashMap::new()),
             budgets: Mutex::new(HashMap::new()),
-            peers: Mutex::new(Vec::new()),
+            shared: Mutex::new(None),
             live_entries: AtomicUsize::new(known),
             settings,
         }
@@ -100,9 +102,26 @@
         self.tally.lock().expect("no holder of the lock panics")
     }
 
-    /// Returns the record of the configuration in force.
-    pub(crate) fn config_record(&self) -> Option<StoreRecord> {
-        self.config.lock().expect("no holder of the lock panics").clone()
+    /// Returns what of the store was read, and the other entries.
+    pub(crate) fn view(&self) -> MutexGuard<'_, SharedView> {
+        self.view.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the other entries.
+    pub(crate) fn roster(&self) -> RosterGuard<'_> {
+        RosterGuard(self.view())
+    }
+
+    /// Returns what was shared last, and when.
+    pub(crate) fn shared(&self) -> MutexGuard<'_, Option<(TimePoint, UsageShare)>> {
+        self.shared.lock().expect("no holder of the lock panics")
+    }
+
+    /// Adds up the load of all entries, as the hub.
+    pub(crate) fn note_own_board(&self) {
+        let now = clock::now();
+        let loads = self.view().board.others(now, &self.process);
+        self.table().note_others(now, &loads);
     }
 
     /// Returns whether this host should get new connections.
@@ -115,7 +134,6 @@
     ///
     /// `source` says where it came from.
     pub(crate) fn apply_config(&self, record: &StoreRecord, config: FleetConfig, source: &str) {
-        let mut known = self.config.lock().expect("no holder of the lock panics");
         let newer = self.routes.load().as_ref().is_none_or(|now| config.version > now.version());
         if !newer {
             return;
@@ -128,7 +146,7 @@
         );
         self.metrics.note_config(config.version);
         self.routes.store(Some(std::sync::Arc::new(RouteTable::new(config))));
-        *known = Some(record.clone());
+        self.view().keep_config(record.clone());
     }
 
     /// Takes a record of the configuration or of an endpoint; one that cannot be decoded changes
@@ -147,42 +165,13 @@
                 });
                 let now = clock::now();
                 let change = self.book().take(now, &record.key, record.offset, entry);
-                self.keep_record(record);
+                self.view().keep_endpoint(record, change.is_some());
                 self.apply_changes(change.into_iter().collect());
             }
             StoreTopic::Shares | StoreTopic::Duty => {}
         }
     }
 
-    /// Returns the newest record of each endpoint.
-    pub(crate) fn endpoint_records(&self) -> Vec<StoreRecord> {
-        let endpoints = self.endpoints.lock().expect("no holder of the lock panics");
-        endpoints.values().cloned().collect()
-    }
-
-    fn keep_record(&self, record: &StoreRecord) {
-        let mut endpoints = self.endpoints.lock().expect("no holder of the lock panics");
-        let known = endpoints.get(&record.key);
-        if known.is_none_or(|known| known.offset < record.offset) {
-            endpoints.insert(record.key.clone(), record.clone());
-        }
-    }
-
-    /// Returns where other entries are reached.
-    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
-        let mut peers = self.peers.lock().expect("no holder of the lock panics").clone();
-        peers.extend(&self.settings.seeds);
-        peers.sort_unstable();
-        peers.dedup();
-        peers.retain(|peer| *peer != self.settings.peers);
-        peers
-    }
-
-    /// Sets where other entries are reached.
-    pub(crate) fn set_peers(&self, peers: Vec<SocketAddr>) {
-        *self.peers.lock().expect("no holder of the lock panics") = peers;
-    }
-
     /// Takes over what became of endpoints.
     pub(crate) fn apply_changes(&self, changes: Vec<BookChange>) {
         for change in changes {
@@ -254,3 +243,20 @@
         "record unreadable"
     );
 }
+
+/// The roster within the locked view.
+pub(crate) struct RosterGuard<'a>(MutexGuard<'a, SharedView>);
+
+impl std::ops::Deref for RosterGuard<'_> {
+    type Target = HubRoster;
+
+    fn deref(&self) -> &HubRoster {
+        &self.0.roster
+    }
+}
+
+impl std::ops::DerefMut for RosterGuard<'_> {
+    fn deref_mut(&mut self) -> &mut HubRoster {
+        &mut self.0.roster
+    }
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -20,6 +20,7 @@
 * [`route`] decides, in an entry, which endpoint a request is sent to.
 * [`place`] decides the same where no agents stand beside the endpoints.
 * [`duty`] decides who reports usage, where the log takes conditional appends.
+* [`hub`] decides which entry reads the platform's store for all others.
 * [`limit`] holds the limits of client accounts across entries.
 * [`retry`] decides whether a request that failed is sent again.
 * [`scale`] decides when endpoints are started and stopped.
@@ -41,6 +42,7 @@
 pub mod catalog;
 pub mod control;
 pub mod duty;
+pub mod hub;
 pub mod ids;
 pub mod limit;
 pub mod place;
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::time::TimePoint;
+use serde::{Deserialize, Serialize};
+
+use crate::{route::hash_text, time::TimePoint};
 
 /// Time for which an endpoint counts as holding a shared part after its last use.
 const PART_MEMORY: Duration = Duration::from_secs(30);
@@ -19,6 +21,9 @@
 /// Age at which what an endpoint said of its load no longer counts.
 const SAMPLE_LIFE: Duration = Duration::from_secs(1);
 
+/// Age at which what other entries said they sent no longer counts.
+const OTHERS_LIFE: Duration = Duration::from_secs(2);
+
 /// An endpoint that requests may be sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlacedEndpoint {
@@ -43,6 +48,24 @@
     pub waiting: u32,
 }
 
+/// What one or more entries have at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadRow {
+    /// Hash of the endpoint's name, see [`LoadRow::endpoint_hash`].
+    pub endpoint: u32,
+    /// Requests without their whole answer.
+    pub in_flight: u32,
+    /// Prompt tokens of requests without their first token.
+    pub prefill: u32,
+}
+
+impl LoadRow {
+    /// Returns the hash that stands for the endpoint named `name`.
+    pub fn endpoint_hash(name: &str) -> u32 {
+        hash_text(name) as u32
+    }
+}
+
 /// What this entry knows of one endpoint.
 #[derive(Clone, Debug)]
 pub(super) struct EndpointState {
@@ -55,6 +78,8 @@
     pub(super) takes_long: bool,
     /// Whether it may be gone, so that others come first.
     pub(super) lapsed: bool,
+    /// What other entries have there, as of a point in time.
+    pub(super) others: Option<(TimePoint, LoadRow)>,
     sample: Option<(TimePoint, EndpointSample, u32)>,
     parts: HashMap<u64, TimePoint>,
     failures: u32,
@@ -69,6 +94,7 @@
             prefill: 0.0,
             takes_long: true,
             lapsed: false,
+            others: None,
             sample: None,
             parts: HashMap::new(),
             failures: 0,
@@ -79,6 +105,9 @@
     /// Returns requests at the endpoint: this entry's, and others' as of its last word.
     pub(super) fn load(&self, now: TimePoint) -> f64 {
         let own = f64::from(self.in_flight);
+        if let Some(others) = self.others(now) {
+            return own + f64::from(others.in_flight);
+        }
         match self.sample {
             Some((at, sample, own_then)) if now.since(at) < SAMPLE_LIFE => {
                 let all = sample.running + sample.waiting;
@@ -88,6 +117,15 @@
         }
     }
 
+    /// Returns prompt tokens that the endpoint has yet to read, of all entries.
+    pub(super) fn prefill(&self, now: TimePoint) -> f64 {
+        self.prefill + self.others(now).map_or(0.0, |others| f64::from(others.prefill))
+    }
+
+    fn others(&self, now: TimePoint) -> Option<LoadRow> {
+        self.others.filter(|(at, _)| now.since(*at) < OTHERS_LIFE).map(|(_, row)| row)
+    }
+
     /// Returns requests that waited there as of the endpoint's last word.
     pub(super) fn waiting(&self, now: TimePoint) -> u32 {
         match self.sample {
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -13,7 +13,7 @@
 mod work;
 
 pub use self::{
-    endpoint::{EndpointSample, PlacedEndpoint},
+    endpoint::{EndpointSample, LoadRow, PlacedEndpoint},
     endpoint_book::{BookChange, EndpointBook, EndpointEntry, LAPSE_GRACE},
     request::{PlacedRequest, PromptPart},
     table::{PlaceChoice, PlacementTable},
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::EndpointKey,
-    place::{EndpointSample, PlacedEndpoint, PlacedRequest, WorkTicket, endpoint::EndpointState},
+    place::{EndpointSample, LoadRow, PlacedEndpoint, PlacedRequest, WorkTicket, endpoint::EndpointState},
     reason::DecisionReason,
     route::{hash_text, mix},
     time::TimePoint,
@@ -206,6 +206,27 @@
         }
     }
 
+    /// Returns what this entry has at its endpoints, for other entries.
+    pub fn own_load(&self) -> Vec<LoadRow> {
+        let busy = self.endpoints.values().filter(|state| state.in_flight > 0);
+        busy.map(|state| LoadRow {
+            endpoint: LoadRow::endpoint_hash(&state.spec.name),
+            in_flight: state.in_flight,
+            prefill: state.prefill as u32,
+        })
+        .collect()
+    }
+
+    /// Takes what all other entries have at the endpoints; those not named have nothing.
+    pub fn note_others(&mut self, now: TimePoint, rows: &[LoadRow]) {
+        for state in self.endpoints.values_mut() {
+            let endpoint = LoadRow::endpoint_hash(&state.spec.name);
+            let row = rows.iter().find(|row| row.endpoint == endpoint).copied();
+            let none = LoadRow { endpoint, in_flight: 0, prefill: 0 };
+            state.others = Some((now, row.unwrap_or(none)));
+        }
+    }
+
     /// Notes that an endpoint was not reached or lost a request: it rests for a while.
     pub fn note_failure(&mut self, now: TimePoint, endpoint: EndpointKey) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
@@ -215,7 +236,7 @@
 
     fn cost(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
         let prompt = f64::from(request.prompt_tokens);
-        let work = state.prefill
+        let work = state.prefill(now)
             + REQUEST_WEIGHT * state.load(now)
             + WAITING_WEIGHT * f64::from(state.waiting(now));
         let long = request.prompt_tokens >= LONG_PROMPT;
