--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -71,6 +71,7 @@
                 service,
                 prompt_tokens: head.prompt_tokens,
                 output_tokens: output_tokens.min(head.output_tokens),
+                strict: route.strict,
                 parts: head.parts,
             },
             deadline: arrived + patience,
@@ -231,7 +232,11 @@
     /// # Errors
     ///
     /// Fails if the request must not be sent again.
-    pub(crate) async fn failed(&mut self, work: &WorkGuard, status: StatusCode) -> Result<(), GiveUp> {
+    pub(crate) async fn failed(
+        &mut self,
+        work: &WorkGuard,
+        status: StatusCode,
+    ) -> Result<(), GiveUp> {
         self.runs += 1;
         self.excluded.push(work.ticket.endpoint);
         self.last_failure = Some(format!("the endpoint answered {status}").into());
--- a/crates/gateway/src/fleet_config.rs
+++ b/crates/gateway/src/fleet_config.rs
@@ -43,6 +43,9 @@
     pub target: Duration,
     /// Longest pause between two events for which a stream is on time.
     pub pause_target: Option<Duration>,
+    /// Whether its streams allow only short pauses, compared with others of their service;
+    /// found when the configuration is indexed.
+    pub strict: bool,
     /// Service tier; 0 is the highest.
     pub tier: Option<u8>,
     /// Services with the weights by which requests are divided among them.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -143,8 +143,7 @@
         address: SocketAddr,
         report: EntryReport,
     ) -> Option<EntryNews> {
-        let answered =
-            tokio::time::timeout(PEER_TIMEOUT, self.call(address, report)).await;
+        let answered = tokio::time::timeout(PEER_TIMEOUT, self.call(address, report)).await;
         let outcome = answered.unwrap_or_else(|_| Err("no answer in time".to_owned()));
         let now = clock::now();
         match outcome {
@@ -168,7 +167,11 @@
         }
     }
 
-    async fn call(&mut self, address: SocketAddr, report: EntryReport) -> Result<EntryNews, String> {
+    async fn call(
+        &mut self,
+        address: SocketAddr,
+        report: EntryReport,
+    ) -> Result<EntryNews, String> {
         let client = match self.open.get(&address) {
             Some(client) => client,
             None => {
--- a/crates/gateway/src/route_table.rs
+++ b/crates/gateway/src/route_table.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use pimentorock_kernel::place::strict_pauses;
+
 use crate::fleet_config::{AccountSpec, CallerLimits, FleetConfig, RouteSpec};
 
 /// A configuration, indexed for requests.
@@ -20,7 +22,9 @@
     /// Returns the table of `config`.
     pub(crate) fn new(config: FleetConfig) -> RouteTable {
         let mut hosts: HashMap<Box<str>, Vec<RouteSpec>> = HashMap::new();
-        for route in config.routes {
+        let mut routes = config.routes;
+        mark_strict(&mut routes);
+        for route in routes {
             hosts.entry(route.host.clone()).or_default().push(route);
         }
         for routes in hosts.values_mut() {
@@ -72,3 +76,21 @@
         self.accounts.get(*index)
     }
 }
+
+/// Marks the routes whose streams allow only short pauses, compared with others of their service.
+fn mark_strict(routes: &mut [RouteSpec]) {
+    let mut services: HashMap<Box<str>, Vec<usize>> = HashMap::new();
+    for (index, route) in
+        routes.iter().enumerate().filter(|(_, route)| route.pause_target.is_some())
+    {
+        for (service, _) in &route.services {
+            services.entry(service.clone()).or_default().push(index);
+        }
+    }
+    for indices in services.into_values() {
+        let pauses: Vec<_> = indices.iter().map(|index| routes[*index].pause_target).collect();
+        for (index, strict) in indices.into_iter().zip(strict_pauses(&pauses)) {
+            routes[index].strict |= strict;
+        }
+    }
+}
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -104,7 +104,8 @@
     }
 
     fn endpoints_since(&self, next: Option<u64>) -> Vec<PeerRecord> {
-        let news = self.endpoints.values().filter(|kept| next.is_none_or(|next| kept.changed >= next));
+        let news =
+            self.endpoints.values().filter(|kept| next.is_none_or(|next| kept.changed >= next));
         news.map(|kept| kept.record.clone().into()).collect()
     }
 }
@@ -136,7 +137,8 @@
         if let Some(share) = report.share {
             view.shares.insert(share.usage.process.to_string().into(), share);
         }
-        let newer = |record: &&StoreRecord| report.config_offset.is_none_or(|at| record.offset > at);
+        let newer =
+            |record: &&StoreRecord| report.config_offset.is_none_or(|at| record.offset > at);
         EntryNews {
             store_age_ms: now.since(view.current()).as_millis() as u64,
             config: view.config.as_ref().filter(newer).cloned().map(PeerRecord::from),
--- a/crates/kernel/src/hub/load_board.rs
+++ b/crates/kernel/src/hub/load_board.rs
@@ -28,11 +28,13 @@
     /// Returns the load of all entries but `entry`.
     pub fn others(&self, now: TimePoint, entry: &ProcessId) -> Vec<LoadRow> {
         let mut sums: BTreeMap<u32, LoadRow> = BTreeMap::new();
-        let others = self.entries.iter().filter(|(process, (at, _))| {
-            process.name != entry.name && now.since(*at) < ROW_LIFE
-        });
+        let others = self
+            .entries
+            .iter()
+            .filter(|(process, (at, _))| process.name != entry.name && now.since(*at) < ROW_LIFE);
         for row in others.flat_map(|(_, (_, rows))| rows) {
-            let sum = sums.entry(row.endpoint).or_insert(LoadRow { in_flight: 0, prefill: 0, ..*row });
+            let sum =
+                sums.entry(row.endpoint).or_insert(LoadRow { in_flight: 0, prefill: 0, ..*row });
             sum.in_flight += row.in_flight;
             sum.prefill += row.prefill;
         }
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -74,8 +74,8 @@
     pub(super) in_flight: u32,
     /// Prompt tokens of this entry's requests that have no first token yet.
     pub(super) prefill: f64,
-    /// Whether long prompts go here.
-    pub(super) takes_long: bool,
+    /// Whether it is kept for strict classes.
+    pub(super) strict: bool,
     /// Whether it may be gone, so that others come first.
     pub(super) lapsed: bool,
     /// What other entries have there, as of a point in time.
@@ -92,7 +92,7 @@
             spec,
             in_flight: 0,
             prefill: 0.0,
-            takes_long: true,
+            strict: false,
             lapsed: false,
             others: None,
             sample: None,
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -6,6 +6,7 @@
 //! request, shared prompt parts that the endpoint does not hold, the distance, and long prompts
 //! beside short streams, whose tokens they delay. Which endpoints there are, [`EndpointBook`] says.
 
+mod division;
 mod endpoint;
 mod endpoint_book;
 mod request;
@@ -13,6 +14,7 @@
 mod work;
 
 pub use self::{
+    division::strict_pauses,
     endpoint::{EndpointSample, LoadRow, PlacedEndpoint},
     endpoint_book::{BookChange, EndpointBook, EndpointEntry, LAPSE_GRACE},
     request::{PlacedRequest, PromptPart},
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -18,6 +18,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer; 0 for a plain service.
     pub output_tokens: u32,
+    /// Whether its class allows only short pauses, see [`strict_pauses`](super::strict_pauses).
+    pub strict: bool,
     /// Parts of the prompt in their order; the last one belongs to the request alone.
     pub parts: Vec<PromptPart>,
 }
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -1,28 +1,22 @@
 //! The endpoints of an entry and the choice among them.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use slotmap::SlotMap;
 
 use crate::{
     ids::EndpointKey,
-    place::{EndpointSample, LoadRow, PlacedEndpoint, PlacedRequest, WorkTicket, endpoint::EndpointState},
+    place::{
+        EndpointSample, LoadRow, PlacedEndpoint, PlacedRequest, WorkTicket,
+        division::EndpointDivision, endpoint::EndpointState,
+    },
     reason::DecisionReason,
     route::{hash_text, mix},
     time::TimePoint,
 };
 
-/// Prompt length in tokens from which a prompt delays the streams beside it.
-///
-/// An engine reads a chunk of about 2,000 tokens between two tokens of all its streams; one
-/// chunk goes unnoticed, several in a row are a pause.
-const LONG_PROMPT: u32 = 2_500;
-
-/// Share of a service's endpoints that take long prompts.
-const LONG_SHARE: f64 = 0.67;
-
-/// Fewest endpoints of a service that are worth dividing.
-const MIN_DIVIDED: usize = 3;
+/// Time between looks whether the endpoints are divided as their work needs.
+const DIVIDE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Prompt tokens that delay a request as much as one request beside it.
 const REQUEST_WEIGHT: f64 = 250.0;
@@ -39,8 +33,18 @@
 /// Cost of sending any request to another failure domain, in prompt tokens.
 const DISTANCE_BASE: f64 = 400.0;
 
-/// Cost for a short prompt of an endpoint that takes long ones, in prompt tokens.
-const MIXED_COST: f64 = 6_000.0;
+/// Cost for a strict request of an endpoint that is not kept for its like, in prompt tokens.
+const STRICT_OUTSIDE: f64 = 20_000.0;
+
+/// Cost of an endpoint that is kept for strict classes for any other request, in prompt tokens.
+const REST_INSIDE: f64 = 2_000.0;
+
+/// Prompt tokens that an engine reads at a stretch without a pause that strict classes notice:
+/// three chunks.
+const PAUSE_TOKENS: f64 = 6_000.0;
+
+/// Cost of each further token beside strict streams, in prompt tokens.
+const PAUSE_WEIGHT: f64 = 8.0;
 
 /// An endpoint to be divided: its key, the hash of its name, and its failure domain.
 type DividedRow = (EndpointKey, u64, Box<str>);
@@ -64,6 +68,8 @@
     domain: Box<str>,
     endpoints: SlotMap<EndpointKey, EndpointState>,
     names: HashMap<Box<str>, EndpointKey>,
+    divisions: HashMap<Box<str>, EndpointDivision>,
+    divided: TimePoint,
 }
 
 impl PlacementTable {
@@ -73,6 +79,8 @@
             domain: domain.into(),
             endpoints: SlotMap::with_key(),
             names: HashMap::new(),
+            divisions: HashMap::new(),
+            divided: TimePoint::ZERO,
         }
     }
 
@@ -174,9 +182,24 @@
         for part in request.shared_parts() {
             state.note_part(now, part.id);
         }
+        self.note_work(now, request, ticket.prefill);
         ticket
     }
 
+    /// Notes work for the division of a model engine's endpoints.
+    fn note_work(&mut self, now: TimePoint, request: &PlacedRequest, prompt: f64) {
+        if request.prompt_tokens == 0 {
+            return;
+        }
+        let division =
+            self.divisions.entry(request.service.clone()).or_insert_with(EndpointDivision::new);
+        division.note(now, request.strict, prompt, request.output_tokens);
+        if now.since(self.divided) >= DIVIDE_PERIOD {
+            self.divided = now;
+            self.divide();
+        }
+    }
+
     /// Notes the first token of an answer.
     pub fn started(&mut self, ticket: &mut WorkTicket) {
         if ticket.started {
@@ -236,27 +259,34 @@
 
     fn cost(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
         let prompt = f64::from(request.prompt_tokens);
-        let work = state.prefill(now)
+        let ahead = state.prefill(now);
+        let reread = self.reread(now, state, request);
+        let work = ahead
             + REQUEST_WEIGHT * state.load(now)
             + WAITING_WEIGHT * f64::from(state.waiting(now));
-        let long = request.prompt_tokens >= LONG_PROMPT;
-        let mixed = match (long, state.takes_long) {
-            (true, false) => f64::from(u32::MAX),
-            (false, true) if request.prompt_tokens > 0 => MIXED_COST,
+        let mixed = match (request.strict, state.strict) {
+            (true, false) => STRICT_OUTSIDE,
+            (false, true) => {
+                let unread = prompt - f64::from(request.shared_tokens()) + reread;
+                REST_INSIDE + PAUSE_WEIGHT * (ahead + unread - PAUSE_TOKENS).max(0.0)
+            }
             _ => 0.0,
         };
         let far = *state.spec.domain != *self.domain;
         let distance = if far { DISTANCE_BASE + DISTANCE_WEIGHT * prompt } else { 0.0 };
-        work + mixed + distance + self.reread(state, request)
+        work + mixed + distance + REREAD_WEIGHT * reread
     }
 
-    /// Returns the cost of the shared parts that `state` probably does not hold.
+    /// Returns the tokens of shared parts that `state` probably does not hold, a little more for
+    /// endpoints that come late in the order of those that should.
     ///
     /// All entries agree on the endpoint that should hold a part without asking each other: the
     /// one that the part's and the endpoint's names hash highest for.
-    fn reread(&self, state: &EndpointState, request: &PlacedRequest) -> f64 {
+    fn reread(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
         let Some(part) = request.affinity_part() else { return 0.0 };
-        let long = request.prompt_tokens >= LONG_PROMPT;
+        if state.holds(now, part.id) {
+            return 0.0;
+        }
         let score = |state: &EndpointState| mix(part.id, hash_text(&state.spec.name));
         let own = score(state);
         let higher = self
@@ -265,22 +295,22 @@
             .filter(|other| {
                 *other.spec.service == *state.spec.service
                     && !other.spec.leaving
-                    && other.takes_long == long
+                    && other.strict == request.strict
                     && score(other) > own
             })
             .count();
-        if higher == 0 && state.takes_long == long {
+        if higher == 0 && state.strict == request.strict {
             return 0.0;
         }
         // The second in the order takes over first, so that few endpoints hold a part.
-        let far = 1.0 + 0.1 * higher.min(5) as f64;
-        REREAD_WEIGHT * far * f64::from(request.shared_tokens())
+        let late = 1.0 + 0.1 * higher.min(5) as f64;
+        late * f64::from(request.shared_tokens())
     }
 
-    /// Decides anew which endpoints take long prompts.
+    /// Decides anew which endpoints are kept for strict classes.
     ///
-    /// The others are spread over the failure domains. All entries that know the same endpoints
-    /// divide them the same way.
+    /// They are spread over the failure domains. Entries that know the same endpoints order them
+    /// the same way.
     fn divide(&mut self) {
         let mut services: HashMap<Box<str>, Vec<DividedRow>> = HashMap::new();
         for (key, state) in self.endpoints.iter().filter(|(_, state)| !state.spec.leaving) {
@@ -288,10 +318,10 @@
             let row = (key, hash, state.spec.domain.clone());
             services.entry(state.spec.service.clone()).or_default().push(row);
         }
-        for mut rows in services.into_values() {
+        for (service, mut rows) in services {
+            let Some(division) = self.divisions.get_mut(&service) else { continue };
+            let strict = division.strict_count(rows.len());
             rows.sort_unstable_by_key(|row| row.1);
-            let long = (rows.len() as f64 * LONG_SHARE).ceil() as usize;
-            let short = if rows.len() < MIN_DIVIDED { 0 } else { rows.len() - long };
             let mut seen: HashMap<Box<str>, usize> = HashMap::new();
             let mut order: Vec<(usize, u64, EndpointKey)> = rows
                 .into_iter()
@@ -303,7 +333,7 @@
                 .collect();
             order.sort_unstable_by_key(|row| (row.0, row.1));
             for (index, (_, _, key)) in order.into_iter().enumerate() {
-                self.endpoints[key].takes_long = index >= short;
+                self.endpoints[key].strict = index < strict;
             }
         }
     }
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -25,7 +25,9 @@
     let lost_and_idempotent = case.outcome == RunOutcome::Lost && case.idempotent;
     let failed_and_idempotent =
         case.outcome == RunOutcome::Failed && case.idempotent && case.retry_failures;
-    (proved_not_run || lost_and_idempotent || failed_and_idempotent) && !case.answer_begun && case.attempts < MAX_ATTEMPTS
+    (proved_not_run || lost_and_idempotent || failed_and_idempotent)
+        && !case.answer_begun
+        && case.attempts < MAX_ATTEMPTS
 }
 
 #[test]
