--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -287,6 +287,19 @@
         GiveUp { status, reason, retry_after: None }
     }
 
+    fn note_choice(&self, choice: &PlaceChoice) {
+        let request = &self.request;
+        log::info!(
+            target: part::REQUEST,
+            request = &*request.id, route = &*request.route.name, endpoint = &*choice.name,
+            sends = self.sends, cost = choice.cost as u64, cached = choice.cached,
+            ahead = choice.ahead, load = choice.load, strict = choice.strict,
+            others_age_ms = choice.others_age.map_or(-1, |age| age.as_millis() as i64),
+            prompt_tokens = request.placed.prompt_tokens;
+            "request placed"
+        );
+    }
+
     fn note_failure(&mut self, choice: &PlaceChoice, outcome: RunOutcome, reason: &str) {
         log::info!(
             target: part::REQUEST,
@@ -303,6 +316,7 @@
             None => return SendEnd::NotRun("the endpoint has just left".into()),
         };
         self.sends += 1;
+        self.note_choice(choice);
         let now = clock::now();
         let ticket = self.state.table().sent(now, choice.endpoint, &self.request.placed);
         let state = Arc::clone(&self.state);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
+use pimentorock_kernel::time::TimePoint;
 use tokio::sync::mpsc;
 
 use crate::{
@@ -151,6 +152,13 @@
     let request = &dispatcher.request;
     let outcome = if head.status.is_success() { "served" } else { "failed_at_endpoint" };
     dispatcher.state.metrics.note_request(&request.route.name, outcome);
+    log::info!(
+        target: part::REQUEST,
+        request = &*request.id, route = &*request.route.name, outcome = outcome,
+        status = head.status.as_u16(), sends = dispatcher.sends(),
+        total_ms = millis(clock::now().since(request.arrived));
+        "request ended"
+    );
     let headers = caller_headers(dispatcher, &head.headers);
     let mut response = Response::new(CallerBody::Whole((!bytes.is_empty()).then_some(bytes)));
     *response.status_mut() = head.status;
@@ -172,6 +180,10 @@
     Ok(bytes.freeze())
 }
 
+fn millis(span: Duration) -> i64 {
+    span.as_millis() as i64
+}
+
 fn caller_headers(dispatcher: &RequestDispatcher, headers: &HeaderMap) -> HeaderMap {
     let mut headers = (dispatcher.state.codec.backward)(headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -197,7 +209,7 @@
     let headers = caller_headers(&dispatcher, &answer.head.headers);
     let status = answer.head.status;
     let last_event = dispatcher.request.last_event.clone();
-    let relay = StreamRelay { dispatcher, frames, last_event, counted: false };
+    let relay = StreamRelay { dispatcher, frames, last_event, progress: None };
     tokio::spawn(relay.run(answer));
     let mut response = Response::new(CallerBody::Stream(receiver));
     *response.status_mut() = status;
@@ -220,8 +232,28 @@
     frames: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
     /// The last event that went to the caller.
     last_event: Option<Box<str>>,
-    /// Whether the request was counted as one that began to run.
-    counted: bool,
+    /// What went to the caller; `None` before the first event.
+    progress: Option<StreamProgress>,
+}
+
+/// What of a stream went to its caller.
+struct StreamProgress {
+    events: u32,
+    first: TimePoint,
+    last: TimePoint,
+    longest_pause: Duration,
+}
+
+impl StreamProgress {
+    fn new(now: TimePoint) -> StreamProgress {
+        StreamProgress { events: 0, first: now, last: now, longest_pause: Duration::ZERO }
+    }
+
+    fn note(&mut self, now: TimePoint, events: u32) {
+        self.events += events;
+        self.longest_pause = self.longest_pause.max(now.since(self.last));
+        self.last = now;
+    }
 }
 
 impl StreamRelay {
@@ -287,10 +319,7 @@
                 },
             };
             let Some(events) = splitter.push(&data) else { continue };
-            if !self.counted {
-                self.counted = true;
-                note_start(&self.dispatcher);
-            }
+            self.note_events(events.count);
             answer.work.started();
             if let Some(id) = events.last_id {
                 self.last_event = Some(id);
@@ -301,8 +330,27 @@
         }
     }
 
+    fn note_events(&mut self, events: u32) {
+        let now = clock::now();
+        if self.progress.is_none() {
+            note_start(&self.dispatcher);
+        }
+        self.progress.get_or_insert_with(|| StreamProgress::new(now)).note(now, events);
+    }
+
     fn finish(&self, outcome: &'static str) {
         let request = &self.dispatcher.request;
+        let progress = self.progress.as_ref();
+        log::info!(
+            target: part::REQUEST,
+            request = &*request.id, route = &*request.route.name, outcome = outcome,
+            sends = self.dispatcher.sends(),
+            events = progress.map_or(0, |progress| progress.events),
+            first_ms = progress.map_or(-1, |progress| millis(progress.first.since(request.arrived))),
+            pause_ms = progress.map_or(-1, |progress| millis(progress.longest_pause)),
+            total_ms = millis(clock::now().since(request.arrived));
+            "stream ended"
+        );
         self.dispatcher.state.metrics.note_request(&request.route.name, outcome);
     }
 
--- a/crates/gateway/src/route_table.rs
+++ b/crates/gateway/src/route_table.rs
@@ -16,6 +16,8 @@
     accounts: Vec<AccountSpec>,
     /// Account of each key; `None` if requests need no key.
     keys: Option<HashMap<Box<str>, usize>>,
+    /// Services that have strict routes and others.
+    divided: Vec<Box<str>>,
 }
 
 impl RouteTable {
@@ -23,7 +25,7 @@
     pub(crate) fn new(config: FleetConfig) -> RouteTable {
         let mut hosts: HashMap<Box<str>, Vec<RouteSpec>> = HashMap::new();
         let mut routes = config.routes;
-        mark_strict(&mut routes);
+        let divided = mark_strict(&mut routes);
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(route);
         }
@@ -43,6 +45,7 @@
             hosts,
             accounts,
             keys: needs_key.then_some(keys),
+            divided,
         }
     }
 
@@ -51,6 +54,11 @@
         self.version
     }
 
+    /// Returns the services that have strict routes and others.
+    pub(crate) fn divided_services(&self) -> &[Box<str>] {
+        &self.divided
+    }
+
     /// Returns the limits on what callers send.
     pub(crate) fn limits(&self) -> CallerLimits {
         self.limits
@@ -77,20 +85,26 @@
     }
 }
 
-/// Marks the routes whose streams allow only short pauses, compared with others of their service.
-fn mark_strict(routes: &mut [RouteSpec]) {
+/// Marks the routes whose streams allow only short pauses, compared with others of their service,
+/// and returns the services that have such.
+fn mark_strict(routes: &mut [RouteSpec]) -> Vec<Box<str>> {
     let mut services: HashMap<Box<str>, Vec<usize>> = HashMap::new();
-    for (index, route) in
-        routes.iter().enumerate().filter(|(_, route)| route.pause_target.is_some())
-    {
+    let streams = routes.iter().enumerate().filter(|(_, route)| route.pause_target.is_some());
+    for (index, route) in streams {
         for (service, _) in &route.services {
             services.entry(service.clone()).or_default().push(index);
         }
     }
-    for indices in services.into_values() {
+    let mut divided = Vec::new();
+    for (service, indices) in services {
         let pauses: Vec<_> = indices.iter().map(|index| routes[*index].pause_target).collect();
-        for (index, strict) in indices.into_iter().zip(strict_pauses(&pauses)) {
+        let strict = strict_pauses(&pauses);
+        if strict.contains(&true) {
+            divided.push(service);
+        }
+        for (index, strict) in indices.into_iter().zip(strict) {
             routes[index].strict |= strict;
         }
     }
+    divided
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -145,7 +145,9 @@
             "configuration applied"
         );
         self.metrics.note_config(config.version);
-        self.routes.store(Some(std::sync::Arc::new(RouteTable::new(config))));
+        let routes = RouteTable::new(config);
+        self.table().divide_services(routes.divided_services());
+        self.routes.store(Some(std::sync::Arc::new(routes)));
         self.view().keep_config(record.clone());
     }
 
--- a/crates/kernel/src/place/division.rs
+++ b/crates/kernel/src/place/division.rs
@@ -23,7 +23,7 @@
 const LEAST_STRICT: f64 = 0.25;
 
 /// Time in which past work loses half its weight.
-const WORK_HALF_LIFE: Duration = Duration::from_secs(6);
+const WORK_HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// Change of the ideal number of endpoints below which the division stays as it is.
 const DEAD_BAND: f64 = 0.75;
@@ -32,7 +32,7 @@
 const FIRST_SHARE: f64 = 0.3;
 
 /// Work that the first assumption stands for, in prompt tokens.
-const FIRST_WORK: f64 = 40_000.0;
+const FIRST_WORK: f64 = 200_000.0;
 
 /// Returns which of the classes with these longest pauses count as strict.
 ///
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -60,6 +60,14 @@
     pub cost: f64,
     /// Whether it holds the request's shared parts as far as this entry knows.
     pub cached: bool,
+    /// Prompt tokens that it has yet to read, of all entries' requests.
+    pub ahead: u32,
+    /// Requests that it has, of all entries.
+    pub load: u32,
+    /// Whether it is kept for strict classes.
+    pub strict: bool,
+    /// Age of what is known of other entries' requests.
+    pub others_age: Option<Duration>,
 }
 
 /// The endpoints that an entry may send to, with what it knows of each.
@@ -158,7 +166,16 @@
         let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::NoEndpoint) };
         let state = &self.endpoints[endpoint];
         let cached = request.affinity_part().is_some_and(|part| state.holds(now, part.id));
-        Ok(PlaceChoice { endpoint, name: state.spec.name.clone(), cost, cached })
+        Ok(PlaceChoice {
+            endpoint,
+            name: state.spec.name.clone(),
+            cost,
+            cached,
+            ahead: state.prefill(now) as u32,
+            load: state.load(now) as u32,
+            strict: state.strict,
+            others_age: state.others.map(|(at, _)| now.since(at)),
+        })
     }
 
     /// Notes that `request` was sent to `endpoint`.
@@ -186,13 +203,18 @@
         ticket
     }
 
+    /// Divides the endpoints of these services between strict classes and the rest.
+    pub fn divide_services(&mut self, services: &[Box<str>]) {
+        self.divisions.retain(|service, _| services.contains(service));
+        for service in services {
+            self.divisions.entry(service.clone()).or_insert_with(EndpointDivision::new);
+        }
+        self.divide();
+    }
+
     /// Notes work for the division of a model engine's endpoints.
     fn note_work(&mut self, now: TimePoint, request: &PlacedRequest, prompt: f64) {
-        if request.prompt_tokens == 0 {
-            return;
-        }
-        let division =
-            self.divisions.entry(request.service.clone()).or_insert_with(EndpointDivision::new);
+        let Some(division) = self.divisions.get_mut(&request.service) else { return };
         division.note(now, request.strict, prompt, request.output_tokens);
         if now.since(self.divided) >= DIVIDE_PERIOD {
             self.divided = now;
@@ -319,8 +341,8 @@
             services.entry(state.spec.service.clone()).or_default().push(row);
         }
         for (service, mut rows) in services {
-            let Some(division) = self.divisions.get_mut(&service) else { continue };
-            let strict = division.strict_count(rows.len());
+            let division = self.divisions.get_mut(&service);
+            let strict = division.map_or(0, |division| division.strict_count(rows.len()));
             rows.sort_unstable_by_key(|row| row.1);
             let mut seen: HashMap<Box<str>, usize> = HashMap::new();
             let mut order: Vec<(usize, u64, EndpointKey)> = rows
