Hold prompt parts at two endpoints, and leave slots free for answers to come in time

And streams of several hundred tokens missed their deadline on endpoints with all slots in use. Now a part has two homes, leaving them costs five times more, and a request joins an endpoint only while its answer can still come at the rate it needs; refused callers are told to come back spread over a quarter of their time. The hub's division holds for all entries.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -26,9 +26,13 @@
 /// Least time that a send needs: two round trips between failure domains and some work.
 const LEAST_SEND_TIME: Duration = Duration::from_millis(8);
 
-/// Time after which a refused caller may come back.
+/// Least time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Share of the time left by which refused callers are spread, so that they do not come back
+/// together; they wait at most a third of it.
+const RETRY_SPREAD: f64 = 0.25;
+
 /// A request of a caller, with its whole body.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerRequest {
@@ -57,7 +61,7 @@
         arrived: TimePoint,
     ) -> CallerRequest {
         let patience = head.time_left.unwrap_or(route.timeout).min(route.timeout);
-        let output_tokens = head.output_guess.unwrap_or(head.output_tokens);
+        let output_tokens = head.output_guess.unwrap_or(head.output_tokens).min(head.output_tokens);
         CallerRequest {
             id: head.id.unwrap_or_default(),
             method: parts.method,
@@ -70,7 +74,8 @@
             placed: PlacedRequest {
                 service,
                 prompt_tokens: head.prompt_tokens,
-                output_tokens: output_tokens.min(head.output_tokens),
+                output_tokens,
+                needed_rate: f64::from(output_tokens) / patience.as_secs_f64().max(0.1),
                 strict: route.strict,
                 parts: head.parts,
             },
@@ -280,7 +285,8 @@
         let reason = why.map_or(reason.clone(), |why| format!("{reason}; before: {why}").into());
         if self.runs == 0 {
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            return GiveUp { status, reason, retry_after: Some(RETRY_AFTER) };
+            let spread = self.request.time_left().mul_f64(RETRY_SPREAD * draw());
+            return GiveUp { status, reason, retry_after: Some(RETRY_AFTER + spread) };
         }
         let late = self.request.time_left() < LEAST_SEND_TIME;
         let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
@@ -403,3 +409,9 @@
         SendEnd::DeadlinePassed => "deadline_passed",
     }
 }
+
+/// Returns a number from 0 to 1 that differs from call to call.
+fn draw() -> f64 {
+    (clock::now().as_micros().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as f64
+        / f64::from(u32::MAX)
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -79,6 +79,8 @@
     pub(crate) endpoints_next: Option<u64>,
     /// What all entries but the asking one have at endpoints.
     pub(crate) loads: Vec<LoadRow>,
+    /// Endpoints that strict classes get, by service.
+    pub(crate) strict_counts: Vec<(Box<str>, u32)>,
     /// Where entries are reached.
     pub(crate) entries: Vec<SocketAddr>,
 }
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -128,7 +128,10 @@
     /// Takes what another entry tells, and returns what it lacks.
     pub(crate) fn answer_peer(&self, report: EntryReport) -> EntryNews {
         let now = clock::now();
-        let own = self.table().own_load();
+        let (own, strict_counts) = {
+            let table = self.table();
+            (table.own_load(), table.strict_counts())
+        };
         let mut view = self.view();
         view.roster.note_heard(now, report.peer);
         view.board.take(now, self.process.clone(), own);
@@ -145,6 +148,7 @@
             endpoints: view.endpoints_since(report.endpoints_next),
             endpoints_next: view.endpoints_next,
             loads,
+            strict_counts,
             entries: view.roster.entries(now),
         }
     }
@@ -161,7 +165,9 @@
             self.take_record(StoreTopic::Endpoints, &record.into(), "peer");
         }
         if from_hub {
-            self.table().note_others(now, &news.loads);
+            let mut table = self.table();
+            table.note_others(now, &news.loads);
+            table.take_strict_counts(now, &news.strict_counts);
         }
         let current = asked - std::time::Duration::from_millis(news.store_age_ms);
         let mut view = self.view();
--- a/crates/kernel/src/place/division.rs
+++ b/crates/kernel/src/place/division.rs
@@ -16,7 +16,7 @@
 
 /// Endpoints that strict classes get, in relation to their share of the work; they need some
 /// room, as their requests must not wait.
-const STRICT_ROOM: f64 = 1.15;
+const STRICT_ROOM: f64 = 1.4;
 
 /// Least share of the endpoints that strict classes get: a burst of other work must not drive
 /// them out, and their requests last longer than the burst takes to come.
@@ -28,6 +28,12 @@
 /// Change of the ideal number of endpoints below which the division stays as it is.
 const DEAD_BAND: f64 = 0.75;
 
+/// The same as a share of all endpoints; parts of prompts move with the division.
+const DEAD_SHARE: f64 = 0.08;
+
+/// Age up to which the hub's count goes before this entry's own.
+const HUB_COUNT_LIFE: Duration = Duration::from_secs(3);
+
 /// Share of strict work that is assumed before any was seen.
 const FIRST_SHARE: f64 = 0.3;
 
@@ -53,6 +59,8 @@
     seen: TimePoint,
     count: usize,
     endpoints: usize,
+    /// The hub's count, and when it came.
+    hub: Option<(TimePoint, usize)>,
 }
 
 impl EndpointDivision {
@@ -63,6 +71,7 @@
             seen: TimePoint::ZERO,
             count: 0,
             endpoints: 0,
+            hub: None,
         }
     }
 
@@ -83,6 +92,18 @@
         }
     }
 
+    /// Returns how many endpoints the strict classes have.
+    pub(super) fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Takes the hub's count; returns whether it differs from the one in force.
+    pub(super) fn take_count(&mut self, now: TimePoint, count: usize) -> bool {
+        self.hub = Some((now, count));
+        self.seen = self.seen.max(now);
+        self.count != count
+    }
+
     /// Returns how many of `endpoints` the strict classes get.
     pub(super) fn strict_count(&mut self, endpoints: usize) -> usize {
         if endpoints < 2 {
@@ -90,8 +111,13 @@
         }
         let all = (self.strict + self.rest).max(1.0);
         let ideal = self.strict / all * STRICT_ROOM * endpoints as f64;
-        let moved = (ideal - self.count as f64).abs() > DEAD_BAND;
-        if moved || self.endpoints != endpoints {
+        let band = DEAD_BAND.max(DEAD_SHARE * endpoints as f64);
+        let moved = (ideal - self.count as f64).abs() > band;
+        let hub = self.hub.filter(|(at, _)| self.seen.since(*at) < HUB_COUNT_LIFE);
+        if let Some((_, count)) = hub {
+            self.count = count;
+            self.endpoints = endpoints;
+        } else if moved || self.endpoints != endpoints {
             self.count = ideal.round() as usize;
             self.endpoints = endpoints;
         }
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -1,5 +1,12 @@
 //! A request as placement sees it.
 
+/// Tokens a second of each stream at an endpoint whose slots are all in use and whose prompts
+/// are read between the tokens.
+const SLOTS_RATE: f64 = 14.5;
+
+/// Most of an endpoint's slots that entries use, as their knowledge of each other lags.
+const MOST_SLOTS: f64 = 0.95;
+
 /// A part of a prompt, shared with other requests or the request's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -18,6 +25,9 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer; 0 for a plain service.
     pub output_tokens: u32,
+    /// Tokens a second that the answer must come at, so as to be whole in time; 0 for a plain
+    /// service.
+    pub needed_rate: f64,
     /// Whether its class allows only short pauses, see [`strict_pauses`](super::strict_pauses).
     pub strict: bool,
     /// Parts of the prompt in their order; the last one belongs to the request alone.
@@ -35,6 +45,19 @@
         self.shared_parts().last().copied()
     }
 
+    /// Returns the requests that an endpoint with `slots` may have for this one to join them.
+    ///
+    /// The more streams run and the more prompts are read between their tokens, the slower each
+    /// stream is. With all slots in use an answer of several hundred tokens takes longer than
+    /// its caller waits, and all of them come to nothing.
+    pub fn load_limit(&self, slots: u32, strict: bool) -> f64 {
+        if self.needed_rate <= 0.0 {
+            return f64::INFINITY;
+        }
+        let share = if self.strict && strict { MOST_SLOTS } else { SLOTS_RATE / self.needed_rate };
+        share.min(MOST_SLOTS) * f64::from(slots)
+    }
+
     /// Returns the tokens of all shared parts.
     pub fn shared_tokens(&self) -> u32 {
         self.shared_parts().iter().map(|part| part.tokens).sum()
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -25,7 +25,11 @@
 const WAITING_WEIGHT: f64 = 2_000.0;
 
 /// Cost of a shared part that must be read again, as a multiple of reading it.
-const REREAD_WEIGHT: f64 = 8.0;
+const REREAD_WEIGHT: f64 = 40.0;
+
+/// Share of its reading that a part costs at the second endpoint that may hold it; it is read
+/// there once and then kept.
+const SECOND_HOME: f64 = 0.3;
 
 /// Cost of sending a prompt token to another failure domain, in prompt tokens.
 const DISTANCE_WEIGHT: f64 = 0.3;
@@ -154,16 +158,25 @@
                 && !state.spec.leaving
                 && !excluded.contains(key)
         };
+        let has_room = |(_, state): &(EndpointKey, &EndpointState)| {
+            state.load(now) < request.load_limit(state.spec.slots, state.strict)
+        };
+        let is_open = self.endpoints.iter().any(|row| open(&row));
         let best = self
             .endpoints
             .iter()
             .filter(open)
+            .filter(has_room)
             .map(|(key, state)| {
                 let order = (state.lapsed, state.rests(now));
                 (order, self.cost(now, state, request), key)
             })
             .min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("costs are numbers"));
-        let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::NoEndpoint) };
+        let Some((_, cost, endpoint)) = best else {
+            let reason =
+                if is_open { DecisionReason::QueueFull } else { DecisionReason::NoEndpoint };
+            return Err(reason);
+        };
         let state = &self.endpoints[endpoint];
         let cached = request.affinity_part().is_some_and(|part| state.holds(now, part.id));
         Ok(PlaceChoice {
@@ -212,6 +225,26 @@
         self.divide();
     }
 
+    /// Returns how many endpoints of each divided service its strict classes get.
+    pub fn strict_counts(&self) -> Vec<(Box<str>, u32)> {
+        let counts = self.divisions.iter();
+        counts.map(|(service, division)| (service.clone(), division.count() as u32)).collect()
+    }
+
+    /// Takes the counts of the hub in place of this entry's own, so that all entries divide the
+    /// endpoints alike.
+    pub fn take_strict_counts(&mut self, now: TimePoint, counts: &[(Box<str>, u32)]) {
+        let mut changed = false;
+        for (service, count) in counts {
+            if let Some(division) = self.divisions.get_mut(service) {
+                changed |= division.take_count(now, *count as usize);
+            }
+        }
+        if changed {
+            self.divide();
+        }
+    }
+
     /// Notes work for the division of a model engine's endpoints.
     fn note_work(&mut self, now: TimePoint, request: &PlacedRequest, prompt: f64) {
         let Some(division) = self.divisions.get_mut(&request.service) else { return };
@@ -299,11 +332,10 @@
         work + mixed + distance + REREAD_WEIGHT * reread
     }
 
-    /// Returns the tokens of shared parts that `state` probably does not hold, a little more for
-    /// endpoints that come late in the order of those that should.
+    /// Returns the tokens of shared parts that `state` probably does not hold.
     ///
-    /// All entries agree on the endpoint that should hold a part without asking each other: the
-    /// one that the part's and the endpoint's names hash highest for.
+    /// All entries agree on the endpoints that should hold a part without asking each other: the
+    /// two that the part's and the endpoint's names hash highest for.
     fn reread(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
         let Some(part) = request.affinity_part() else { return 0.0 };
         if state.holds(now, part.id) {
@@ -321,12 +353,13 @@
                     && score(other) > own
             })
             .count();
-        if higher == 0 && state.strict == request.strict {
-            return 0.0;
+        let like = state.strict == request.strict;
+        match higher {
+            0 if like => 0.0,
+            // Two endpoints may hold a part, so that neither is overrun by a part in demand.
+            1 if like => SECOND_HOME * f64::from(request.shared_tokens()),
+            _ => f64::from(request.shared_tokens()),
         }
-        // The second in the order takes over first, so that few endpoints hold a part.
-        let late = 1.0 + 0.1 * higher.min(5) as f64;
-        late * f64::from(request.shared_tokens())
     }
 
     /// Decides anew which endpoints are kept for strict classes.
