--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -24,12 +24,21 @@
 /// Prompt tokens that one request waiting at the endpoint stands for.
 const WAITING_WEIGHT: f64 = 2_000.0;
 
-/// Cost of a shared part that must be read again, as a multiple of reading it.
+/// Cost of reading shared parts again, as a multiple of their tokens.
 const REREAD_WEIGHT: f64 = 40.0;
 
+/// Tokens of shared parts from which the cost of each grows with their number: the longer an
+/// endpoint reads, the more of its streams it delays for long.
+const SHORT_PART: f64 = 1_000.0;
+
+/// Share of its load limit that an endpoint keeps from a request, times the share of the prompt
+/// that it would have to read again. Under overload that reading costs more than the request is
+/// worth, and its caller may come back.
+const REREAD_ROOM: f64 = 1.2;
+
 /// Share of its reading that a part costs at the second endpoint that may hold it; it is read
 /// there once and then kept.
-const SECOND_HOME: f64 = 0.3;
+const SECOND_HOME: f64 = 0.05;
 
 /// Cost of sending a prompt token to another failure domain, in prompt tokens.
 const DISTANCE_WEIGHT: f64 = 0.3;
@@ -70,6 +79,8 @@
     pub load: u32,
     /// Whether it is kept for strict classes.
     pub strict: bool,
+    /// Its place among the endpoints that should hold the request's shared parts.
+    pub home_rank: Option<usize>,
     /// Age of what is known of other entries' requests.
     pub others_age: Option<Duration>,
 }
@@ -159,7 +170,10 @@
                 && !excluded.contains(key)
         };
         let has_room = |(_, state): &(EndpointKey, &EndpointState)| {
-            state.load(now) < request.load_limit(state.spec.slots, state.strict)
+            let limit = request.load_limit(state.spec.slots, state.strict);
+            let prompt = f64::from(request.prompt_tokens.max(1));
+            let kept = REREAD_ROOM * self.reread(now, state, request) / prompt;
+            state.load(now) < limit * (1.0 - kept.min(1.0))
         };
         let is_open = self.endpoints.iter().any(|row| open(&row));
         let best = self
@@ -187,6 +201,9 @@
             ahead: state.prefill(now) as u32,
             load: state.load(now) as u32,
             strict: state.strict,
+            home_rank: request
+                .affinity_part()
+                .and_then(|part| self.home_rank(part.id, state, request)),
             others_age: state.others.map(|(at, _)| now.since(at)),
         })
     }
@@ -329,39 +346,50 @@
         };
         let far = *state.spec.domain != *self.domain;
         let distance = if far { DISTANCE_BASE + DISTANCE_WEIGHT * prompt } else { 0.0 };
-        work + mixed + distance + REREAD_WEIGHT * reread
+        let length = f64::from(request.shared_tokens()).max(SHORT_PART) / SHORT_PART;
+        work + mixed + distance + REREAD_WEIGHT * reread * length
     }
 
     /// Returns the tokens of shared parts that `state` probably does not hold.
-    ///
-    /// All entries agree on the endpoints that should hold a part without asking each other: the
-    /// two that the part's and the endpoint's names hash highest for.
     fn reread(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
         let Some(part) = request.affinity_part() else { return 0.0 };
         if state.holds(now, part.id) {
             return 0.0;
         }
-        let score = |state: &EndpointState| mix(part.id, hash_text(&state.spec.name));
-        let own = score(state);
-        let higher = self
-            .endpoints
-            .values()
-            .filter(|other| {
-                *other.spec.service == *state.spec.service
-                    && !other.spec.leaving
-                    && other.strict == request.strict
-                    && score(other) > own
-            })
-            .count();
-        let like = state.strict == request.strict;
-        match higher {
-            0 if like => 0.0,
+        let tokens = f64::from(request.shared_tokens());
+        match self.home_rank(part.id, state, request) {
+            Some(0) => 0.0,
             // Two endpoints may hold a part, so that neither is overrun by a part in demand.
-            1 if like => SECOND_HOME * f64::from(request.shared_tokens()),
-            _ => f64::from(request.shared_tokens()),
+            Some(1) => SECOND_HOME * tokens,
+            _ => tokens,
         }
     }
 
+    /// Returns the place of an endpoint in the order of those that should hold a part; none if it
+    /// is not kept for requests like this one.
+    ///
+    /// All entries agree on that order without asking each other: it is that of hashes of the
+    /// part's and the endpoints' names.
+    fn home_rank(
+        &self,
+        part: u64,
+        state: &EndpointState,
+        request: &PlacedRequest,
+    ) -> Option<usize> {
+        if state.strict != request.strict {
+            return None;
+        }
+        let score = |state: &EndpointState| mix(part, hash_text(&state.spec.name));
+        let own = score(state);
+        let higher = self.endpoints.values().filter(|other| {
+            *other.spec.service == *state.spec.service
+                && !other.spec.leaving
+                && other.strict == request.strict
+                && score(other) > own
+        });
+        Some(higher.count())
+    }
+
     /// Decides anew which endpoints are kept for strict classes.
     ///
     /// They are spread over the failure domains. Entries that know the same endpoints order them
