--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -50,8 +50,8 @@
     let settings = PlatformSettings::read()?;
     let store = store::connect(settings.store, settings.reports);
     let reload = || match PlatformSettings::read() {
-        Ok(_) => log::info!(target: "process", "settings read again"),
-        Err(error) => log::warn!(target: "process", "settings kept: {error}"),
+        Ok(settings) => Ok(settings.gateway),
+        Err(error) => Err(error.to_string().into()),
     };
     pimentorock_gateway::process::run(settings.gateway, wire::codec(), store, Box::new(reload))?;
     Ok(())
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -47,7 +47,7 @@
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Most connections that wait to be accepted.
-pub(crate) const BACKLOG: i32 = 1024;
+pub(crate) const BACKLOG: u32 = 1024;
 
 /// What one connection is doing.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/fleet_config.rs
+++ b/crates/gateway/src/fleet_config.rs
@@ -9,6 +9,8 @@
     pub version: u64,
     /// Which requests go where.
     pub routes: Vec<RouteSpec>,
+    /// Services that routes lead to.
+    pub services: Vec<ServiceSpec>,
     /// Client accounts; none if requests need no key.
     pub accounts: Option<Vec<AccountSpec>>,
     /// Limits on what a caller sends.
@@ -69,6 +71,15 @@
     }
 }
 
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: Box<str>,
+    /// Tokens that fit the memory of one of its endpoints; none for a plain service.
+    pub memory_tokens: Option<u64>,
+}
+
 /// A client account.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AccountSpec {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -28,6 +28,12 @@
 /// Time before the end of the grace at which the process gives up what is under way.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time between looks whether the settings changed without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(5);
+
+/// Reads the settings again.
+pub type ReloadCall = Box<dyn Fn() -> Result<GatewaySettings, Box<str>> + Send + Sync>;
+
 /// Serves as an entry until a signal to stop; `reload` reads the settings again.
 ///
 /// # Errors
@@ -37,26 +43,66 @@
     settings: GatewaySettings,
     codec: WireCodec,
     store: FleetStore,
-    reload: Box<dyn Fn() + Send + Sync>,
+    reload: ReloadCall,
 ) -> Result<(), GatewayError> {
     logs::start(&settings.name)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|source| GatewayError::new(ErrorKind::Start { part: "traffic", source }))?;
-    runtime.block_on(serve(settings, codec, store, reload))
+    runtime.block_on(async {
+        let sockets = GatewaySockets::open(&settings)?;
+        let stop = CancellationToken::new();
+        tokio::spawn(stop_on_signal(stop.clone()));
+        serve(settings, codec, store, reload, sockets, stop).await;
+        Ok(())
+    })
+}
+
+/// Listening sockets of an entry.
+#[derive(Debug)]
+pub struct GatewaySockets {
+    callers: TcpListener,
+    ready: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl GatewaySockets {
+    /// Opens the sockets that `settings` name; a port of 0 stands for any.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be had.
+    pub fn open(settings: &GatewaySettings) -> Result<GatewaySockets, GatewayError> {
+        let metrics = SocketAddr::new(settings.ready.ip(), settings.metrics_port);
+        Ok(GatewaySockets {
+            callers: listen(settings.callers, "callers")?,
+            ready: listen(settings.ready, "readiness")?,
+            peers: listen(settings.peers, "peers")?,
+            metrics: listen(metrics, "metrics")?,
+        })
+    }
+
+    /// Returns where callers, the balancer and peers reach the entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell.
+    pub fn addresses(&self) -> std::io::Result<[SocketAddr; 3]> {
+        Ok([self.callers.local_addr()?, self.ready.local_addr()?, self.peers.local_addr()?])
+    }
 }
 
-async fn serve(
+/// Serves as an entry until `stop` is cancelled, then drains.
+pub async fn serve(
     settings: GatewaySettings,
     codec: WireCodec,
     store: FleetStore,
-    reload: Box<dyn Fn() + Send + Sync>,
-) -> Result<(), GatewayError> {
-    let callers = listen(settings.callers, "callers")?;
-    let ready = listen(settings.ready, "readiness")?;
-    let peers = listen(settings.peers, "peers")?;
-    let metrics = listen(SocketAddr::new(settings.ready.ip(), settings.metrics_port), "metrics")?;
+    reload: ReloadCall,
+    sockets: GatewaySockets,
+    stop: CancellationToken,
+) {
     let grace = settings.grace;
     let state = Arc::new(GatewayState::new(settings, codec, store));
     log::info!(
@@ -65,26 +111,16 @@
         pid = std::process::id();
         "entry started"
     );
-    let stop = CancellationToken::new();
+    let stop_tasks = CancellationToken::new();
     let stop_callers = CancellationToken::new();
     let connections = TaskTracker::new();
-    let tasks = TaskTracker::new();
-    tokio::spawn(follow::follow_config(Arc::clone(&state), stop.clone()));
-    tokio::spawn(follow::follow_endpoints(Arc::clone(&state), stop.clone()));
-    tokio::spawn(follow::tidy(Arc::clone(&state), stop.clone()));
-    tokio::spawn(follow::exchange(Arc::clone(&state), stop.clone()));
-    tokio::spawn(ready::serve(Arc::clone(&state), ready, stop.clone()));
-    tokio::spawn(ready::serve(Arc::clone(&state), metrics, stop.clone()));
-    tokio::spawn(peer::serve(Arc::clone(&state), peers, stop.clone()));
+    let last_words = TaskTracker::new();
+    start_control(&state, &stop_tasks);
+    start_servers(&state, sockets, &stop_tasks, &stop_callers, &connections);
     tokio::spawn(duty::report(Arc::clone(&state), stop_callers.clone()));
-    tasks.spawn(duty::share(Arc::clone(&state), stop.clone()));
-    tokio::spawn(callers::serve(
-        Arc::clone(&state),
-        callers,
-        stop_callers.clone(),
-        connections.clone(),
-    ));
-    wait_for_stop(reload).await?;
+    last_words.spawn(duty::share(Arc::clone(&state), stop_tasks.clone()));
+    tokio::spawn(follow_settings(Arc::clone(&state), reload, stop_tasks.clone()));
+    stop.cancelled().await;
     let signalled = clock::now();
     state.draining.store(true, Ordering::Relaxed);
     log::info!(target: part::PROCESS, grace_ms = grace.as_millis() as u64; "stopping");
@@ -93,28 +129,87 @@
     connections.close();
     let left = grace.saturating_sub(GRACE_MARGIN + clock::now().since(signalled));
     let drained = tokio::time::timeout(left, connections.wait()).await.is_ok();
-    stop.cancel();
-    tasks.close();
+    stop_tasks.cancel();
+    last_words.close();
     // What was counted last must be shared; the store may not answer.
-    let shared = tokio::time::timeout(GRACE_MARGIN / 2, tasks.wait()).await.is_ok();
+    let shared = tokio::time::timeout(GRACE_MARGIN / 2, last_words.wait()).await.is_ok();
     log::info!(target: part::PROCESS, drained = drained, shared = shared; "stopped");
-    Ok(())
 }
 
-/// Returns at the signal to stop; each signal to reload is passed on.
-async fn wait_for_stop(reload: Box<dyn Fn() + Send + Sync>) -> Result<(), GatewayError> {
-    let failed = |source| GatewayError::new(ErrorKind::Start { part: "signals", source });
-    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
+/// Starts what keeps the entry in step with the store and the other entries.
+fn start_control(state: &Arc<GatewayState>, stop: &CancellationToken) {
+    tokio::spawn(follow::follow_config(Arc::clone(state), stop.clone()));
+    tokio::spawn(follow::follow_endpoints(Arc::clone(state), stop.clone()));
+    tokio::spawn(follow::tidy(Arc::clone(state), stop.clone()));
+    tokio::spawn(follow::exchange(Arc::clone(state), stop.clone()));
+}
+
+/// Starts to answer on all sockets.
+fn start_servers(
+    state: &Arc<GatewayState>,
+    sockets: GatewaySockets,
+    stop: &CancellationToken,
+    stop_callers: &CancellationToken,
+    connections: &TaskTracker,
+) {
+    tokio::spawn(ready::serve(Arc::clone(state), sockets.ready, stop.clone()));
+    tokio::spawn(ready::serve(Arc::clone(state), sockets.metrics, stop.clone()));
+    tokio::spawn(peer::serve(Arc::clone(state), sockets.peers, stop.clone()));
+    tokio::spawn(callers::serve(
+        Arc::clone(state),
+        sockets.callers,
+        stop_callers.clone(),
+        connections.clone(),
+    ));
+}
+
+/// Cancels `stop` at the signal to stop.
+async fn stop_on_signal(stop: CancellationToken) {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        log::error!(target: part::PROCESS, "signals cannot be received; stopping");
+        return stop.cancel();
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop.cancel();
+}
+
+/// Reads the settings again at each signal to reload, and from time to time.
+async fn follow_settings(state: Arc<GatewayState>, reload: ReloadCall, stop: CancellationToken) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            log::error!(target: part::PROCESS, error = error.to_string(); "no signal to reload");
+            return;
+        }
+    };
+    let mut known = state.settings.clone();
+    let mut failure: Option<Box<str>> = None;
     loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {
-                log::info!(target: part::PROCESS, "reloading settings");
-                reload();
+        let signalled = tokio::select! {
+            () = stop.cancelled() => return,
+            _ = hangup.recv() => true,
+            () = sleep(RELOAD_PERIOD) => false,
+        };
+        match reload() {
+            Ok(settings) => {
+                if signalled || settings != known {
+                    log::info!(target: part::PROCESS, signalled = signalled; "settings reloaded");
+                    state.apply_settings(&settings);
+                    known = settings;
+                }
+                failure = None;
+            }
+            // A file that stays unreadable is told of once.
+            Err(error) if signalled || failure.as_ref() != Some(&error) => {
+                log::warn!(target: part::PROCESS, error = &*error; "settings kept: the new ones are unusable");
+                failure = Some(error);
             }
+            Err(_) => {}
         }
     }
 }
@@ -127,5 +222,5 @@
     let socket = TcpSocket::new_v4().map_err(failed)?;
     socket.set_reuseaddr(true).map_err(failed)?;
     socket.bind(address).map_err(failed)?;
-    socket.listen(callers::BACKLOG as u32).map_err(failed)
+    socket.listen(callers::BACKLOG).map_err(failed)
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -51,6 +51,8 @@
     book: Mutex<EndpointBook>,
     table: Mutex<PlacementTable>,
     budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
+    /// Retries that each request earns, and those of one window, over all entries.
+    allowance: Mutex<(f64, f64)>,
     tally: Mutex<UsageTally>,
     /// What was shared last, and when.
     shared: Mutex<Option<(TimePoint, UsageShare)>>,
@@ -81,6 +83,7 @@
             view: Mutex::new(SharedView::new(roster)),
             book: Mutex::new(EndpointBook::new()),
             budgets: Mutex::new(HashMap::new()),
+            allowance: Mutex::new((settings.retry_ratio, settings.retry_slack)),
             shared: Mutex::new(None),
             live_entries: AtomicUsize::new(known),
             settings,
@@ -145,6 +148,10 @@
             "configuration applied"
         );
         self.metrics.note_config(config.version);
+        let memories = config.services.iter();
+        let memories =
+            memories.filter_map(|service| Some((service.name.clone(), service.memory_tokens?)));
+        self.table().set_memories(memories.collect());
         let routes = RouteTable::new(config);
         self.table().divide_services(routes.divided_services());
         self.routes.store(Some(std::sync::Arc::new(routes)));
@@ -206,6 +213,23 @@
         self.metrics.note_endpoints(self.book().len());
     }
 
+    /// Takes over what may change of the settings while the entry runs: other entries and the
+    /// allowance for retries.
+    pub(crate) fn apply_settings(&self, settings: &GatewaySettings) {
+        let now = clock::now();
+        for seed in &settings.seeds {
+            self.roster().note_heard(now, *seed);
+        }
+        let new = (settings.retry_ratio, settings.retry_slack);
+        let old = std::mem::replace(
+            &mut *self.allowance.lock().expect("no holder of the lock panics"),
+            new,
+        );
+        if old != new {
+            self.budgets.lock().expect("no holder of the lock panics").clear();
+        }
+    }
+
     /// Sets the number of entries that share the retry budget.
     pub(crate) fn set_live_entries(&self, count: usize) {
         self.live_entries.store(count.max(1), Ordering::Relaxed);
@@ -225,8 +249,8 @@
         let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
         let budget = budgets.entry(service.into()).or_insert_with(|| {
             let entries = self.live_entries.load(Ordering::Relaxed) as f64;
-            let reserve = self.settings.retry_slack * BUDGET_SHARE / entries;
-            RetryBudget::with_limits(self.settings.retry_ratio * BUDGET_SHARE, reserve)
+            let (ratio, slack) = *self.allowance.lock().expect("no holder of the lock panics");
+            RetryBudget::with_limits(ratio * BUDGET_SHARE, slack * BUDGET_SHARE / entries)
         });
         decide(budget)
     }
--- a/crates/kernel/src/hub/load_board.rs
+++ b/crates/kernel/src/hub/load_board.rs
@@ -33,10 +33,15 @@
             .iter()
             .filter(|(process, (at, _))| process.name != entry.name && now.since(*at) < ROW_LIFE);
         for row in others.flat_map(|(_, (_, rows))| rows) {
-            let sum =
-                sums.entry(row.endpoint).or_insert(LoadRow { in_flight: 0, prefill: 0, ..*row });
+            let sum = sums.entry(row.endpoint).or_insert(LoadRow {
+                in_flight: 0,
+                prefill: 0,
+                memory: 0,
+                ..*row
+            });
             sum.in_flight += row.in_flight;
             sum.prefill += row.prefill;
+            sum.memory = sum.memory.saturating_add(row.memory);
         }
         sums.into_values().collect()
     }
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -57,6 +57,8 @@
     pub in_flight: u32,
     /// Prompt tokens of requests without their first token.
     pub prefill: u32,
+    /// Tokens that the requests take of the endpoint's memory beside shared parts.
+    pub memory: u32,
 }
 
 impl LoadRow {
@@ -74,6 +76,8 @@
     pub(super) in_flight: u32,
     /// Prompt tokens of this entry's requests that have no first token yet.
     pub(super) prefill: f64,
+    /// Tokens that this entry's requests take of the endpoint's memory beside shared parts.
+    pub(super) memory: u64,
     /// Whether it is kept for strict classes.
     pub(super) strict: bool,
     /// Whether it may be gone, so that others come first.
@@ -92,6 +96,7 @@
             spec,
             in_flight: 0,
             prefill: 0.0,
+            memory: 0,
             strict: false,
             lapsed: false,
             others: None,
@@ -122,6 +127,11 @@
         self.prefill + self.others(now).map_or(0.0, |others| f64::from(others.prefill))
     }
 
+    /// Returns tokens of the endpoint's memory that requests take, of all entries.
+    pub(super) fn memory(&self, now: TimePoint) -> u64 {
+        self.memory + self.others(now).map_or(0, |others| u64::from(others.memory))
+    }
+
     fn others(&self, now: TimePoint) -> Option<LoadRow> {
         self.others.filter(|(at, _)| now.since(*at) < OTHERS_LIFE).map(|(_, row)| row)
     }
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -45,6 +45,12 @@
         self.shared_parts().last().copied()
     }
 
+    /// Returns the tokens that the request takes of an endpoint's memory beside shared parts.
+    pub fn memory_tokens(&self) -> u64 {
+        let own = self.prompt_tokens.saturating_sub(self.shared_tokens());
+        u64::from(own) + u64::from(self.output_tokens)
+    }
+
     /// Returns the requests that an endpoint with `slots` may have for this one to join them.
     ///
     /// The more streams run and the more prompts are read between their tokens, the slower each
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -59,6 +59,10 @@
 /// Cost of each further token beside strict streams, in prompt tokens.
 const PAUSE_WEIGHT: f64 = 8.0;
 
+/// Share of an endpoint's memory that running requests may take; shared parts and answers that
+/// turn out longer need the rest.
+const MEMORY_SHARE: f64 = 0.7;
+
 /// An endpoint to be divided: its key, the hash of its name, and its failure domain.
 type DividedRow = (EndpointKey, u64, Box<str>);
 
@@ -93,6 +97,8 @@
     names: HashMap<Box<str>, EndpointKey>,
     divisions: HashMap<Box<str>, EndpointDivision>,
     divided: TimePoint,
+    /// Tokens that fit the memory of each service's endpoints.
+    memories: HashMap<Box<str>, u64>,
 }
 
 impl PlacementTable {
@@ -104,6 +110,7 @@
             names: HashMap::new(),
             divisions: HashMap::new(),
             divided: TimePoint::ZERO,
+            memories: HashMap::new(),
         }
     }
 
@@ -173,7 +180,7 @@
             let limit = request.load_limit(state.spec.slots, state.strict);
             let prompt = f64::from(request.prompt_tokens.max(1));
             let kept = REREAD_ROOM * self.reread(now, state, request) / prompt;
-            state.load(now) < limit * (1.0 - kept.min(1.0))
+            state.load(now) < limit * (1.0 - kept.min(1.0)) && self.has_memory(now, state, request)
         };
         let is_open = self.endpoints.iter().any(|row| open(&row));
         let best = self
@@ -208,6 +215,21 @@
         })
     }
 
+    /// Returns whether a request fits the endpoint's memory beside those that are there.
+    ///
+    /// Otherwise the endpoint would stop a running request and read it again later.
+    fn has_memory(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> bool {
+        let Some(all) = self.memories.get(&state.spec.service) else { return true };
+        let usable = (*all as f64 * MEMORY_SHARE) as u64;
+        let taken = state.memory(now);
+        taken == 0 || taken + request.memory_tokens() <= usable
+    }
+
+    /// Sets how many tokens fit the memory of each service's endpoints.
+    pub fn set_memories(&mut self, memories: HashMap<Box<str>, u64>) {
+        self.memories = memories;
+    }
+
     /// Notes that `request` was sent to `endpoint`.
     pub fn sent(
         &mut self,
@@ -215,7 +237,8 @@
         endpoint: EndpointKey,
         request: &PlacedRequest,
     ) -> WorkTicket {
-        let mut ticket = WorkTicket { endpoint, prefill: 0.0, started: false };
+        let memory = request.memory_tokens();
+        let mut ticket = WorkTicket { endpoint, prefill: 0.0, memory, started: false };
         let Some(state) = self.endpoints.get_mut(endpoint) else { return ticket };
         let held: u32 = request
             .shared_parts()
@@ -226,6 +249,7 @@
         ticket.prefill = f64::from(request.prompt_tokens.saturating_sub(held));
         state.prefill += ticket.prefill;
         state.in_flight += 1;
+        state.memory += memory;
         for part in request.shared_parts() {
             state.note_part(now, part.id);
         }
@@ -292,6 +316,7 @@
         }
         ticket.started = true;
         state.in_flight = state.in_flight.saturating_sub(1);
+        state.memory = state.memory.saturating_sub(ticket.memory);
     }
 
     /// Notes what an endpoint said of its load.
@@ -308,6 +333,7 @@
             endpoint: LoadRow::endpoint_hash(&state.spec.name),
             in_flight: state.in_flight,
             prefill: state.prefill as u32,
+            memory: state.memory.min(u64::from(u32::MAX)) as u32,
         })
         .collect()
     }
@@ -317,7 +343,7 @@
         for state in self.endpoints.values_mut() {
             let endpoint = LoadRow::endpoint_hash(&state.spec.name);
             let row = rows.iter().find(|row| row.endpoint == endpoint).copied();
-            let none = LoadRow { endpoint, in_flight: 0, prefill: 0 };
+            let none = LoadRow { endpoint, in_flight: 0, prefill: 0, memory: 0 };
             state.others = Some((now, row.unwrap_or(none)));
         }
     }
--- a/crates/kernel/src/place/work.rs
+++ b/crates/kernel/src/place/work.rs
@@ -9,6 +9,8 @@
     pub endpoint: EndpointKey,
     /// Prompt tokens that the endpoint has yet to read.
     pub(super) prefill: f64,
+    /// Tokens that the request takes of the endpoint's memory.
+    pub(super) memory: u64,
     /// Whether the request has its first token.
     pub(super) started: bool,
 }
--- /dev/null
+++ b/crates/kernel/tests/hub.rs
@@ -0,0 +1,78 @@
+//! Which entry reads the store for the others.
+
+use std::{net::SocketAddr, time::Duration};
+
+use pimentorock_kernel::{
+    hub::{HubChoice, HubRoster, LoadBoard, exchange_period},
+    ids::ProcessId,
+    place::LoadRow,
+    time::TimePoint,
+};
+
+const NOW: TimePoint = TimePoint::from_millis(10_000);
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7340))
+}
+
+/// Returns the roster of entry `own` that has just heard of `others`.
+fn roster(own: u8, others: &[u8]) -> HubRoster {
+    let mut roster = HubRoster::new(address(own));
+    for other in others {
+        roster.note_heard(NOW, address(*other));
+    }
+    roster
+}
+
+#[test]
+fn entries_that_know_each_other_agree_on_the_first() {
+    for own in 1..=5 {
+        let roster = roster(own, &[1, 2, 3, 4, 5]);
+        let expected = if own == 1 { HubChoice::Own } else { HubChoice::Peer(address(1)) };
+        assert_eq!(roster.hub(NOW), expected);
+        assert_eq!(roster.is_standby(NOW), own == 2);
+    }
+}
+
+#[test]
+fn a_hub_that_does_not_answer_is_passed_over_for_a_while() {
+    let mut roster = roster(3, &[1, 2]);
+    roster.note_failure(NOW, address(1));
+    assert_eq!(roster.hub(NOW), HubChoice::Peer(address(2)));
+    roster.note_failure(NOW, address(2));
+    assert_eq!(roster.hub(NOW), HubChoice::Own);
+    let later = NOW + Duration::from_secs(3);
+    assert_eq!(roster.hub(later), HubChoice::Peer(address(1)));
+    roster.note_answer(later, address(1));
+    assert_eq!(roster.hub(later), HubChoice::Peer(address(1)));
+}
+
+#[test]
+fn an_entry_that_nobody_hears_of_is_forgotten() {
+    let roster = roster(3, &[1]);
+    let later = NOW + Duration::from_secs(6);
+    assert_eq!(roster.hub(later), HubChoice::Own);
+    assert_eq!(roster.entries(later), [address(3)]);
+}
+
+#[test]
+fn exchanges_grow_rarer_with_the_number_of_entries() {
+    let cases = [(1, 150), (10, 150), (28, 420), (100, 1_500)];
+    for (entries, millis) in cases {
+        assert_eq!(exchange_period(entries), Duration::from_millis(millis));
+    }
+}
+
+#[test]
+fn a_board_adds_up_all_but_the_asking_entry() {
+    let process = |name: &str| ProcessId { name: name.into(), incarnation: 1 };
+    let row = |endpoint, in_flight| LoadRow { endpoint, in_flight, prefill: 10, memory: 5 };
+    let mut board = LoadBoard::new();
+    board.take(NOW, process("a"), vec![row(1, 2), row(2, 3)]);
+    board.take(NOW, process("b"), vec![row(1, 5)]);
+    board.take(NOW, process("c"), vec![row(1, 100)]);
+    let expected = [LoadRow { endpoint: 1, in_flight: 7, prefill: 20, memory: 10 }, row(2, 3)];
+    assert_eq!(board.others(NOW, &process("c")), expected);
+    let later = NOW + Duration::from_secs(2);
+    assert_eq!(board.others(later, &process("c")), []);
+}
