--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -262,6 +263,9 @@
     limits: CallerLimits,
     left: Duration,
 ) -> Result<Bytes, StatusCode> {
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     let reading = Limited::new(body, limits.body_bytes).collect();
     match tokio::time::timeout(left, reading).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
