--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -57,7 +57,7 @@
             let changed = last.counts != usage.counts && now.since(*at) >= SHARE_PERIOD;
             changed || last.until_ms / window != wall_ms / window
         });
-        due.then(|| EntryShare { peer: self.settings.peers, usage })
+        due.then_some(EntryShare { peer: self.settings.peers, usage })
     }
 
     /// Notes that the hub, or the store, has what this entry counted.
