Weigh shared parts more under load, and let them spill while most slots are free

A caller that leaves before its answer is logged now: 20 of the failed requests of an incident had no last line.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -161,6 +161,25 @@
     runs: u32,
     /// What the last send that failed came to.
     last_failure: Option<Box<str>>,
+    /// Whether the request's end was logged.
+    ended: bool,
+}
+
+impl Drop for RequestDispatcher {
+    /// Logs the end of a request whose caller left before there was an answer.
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        log::info!(
+            target: part::REQUEST,
+            request = &*self.request.id, route = &*self.request.route.name,
+            outcome = "caller_gone", sends = self.sends,
+            total_ms = clock::now().since(self.request.arrived).as_millis() as u64;
+            "request ended"
+        );
+        self.state.metrics.note_request(&self.request.route.name, "caller_gone");
+    }
 }
 
 impl RequestDispatcher {
@@ -174,9 +193,16 @@
             sends: 0,
             runs: 0,
             last_failure: None,
+            ended: false,
         }
     }
 
+    /// Notes that the request's end is logged and counted as `outcome`.
+    pub(crate) fn note_end(&mut self, outcome: &'static str) {
+        self.ended = true;
+        self.state.metrics.note_request(&self.request.route.name, outcome);
+    }
+
     /// Returns how often the request was sent.
     pub(crate) fn sends(&self) -> u32 {
         self.sends
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,7 +85,7 @@
     loop {
         let answer = match dispatcher.answer(last_event.as_deref()).await {
             Ok(answer) => answer,
-            Err(give_up) => return refusal(&dispatcher, &give_up),
+            Err(give_up) => return refusal(&mut dispatcher, &give_up),
         };
         note_first_byte(&dispatcher);
         let streams = dispatcher.request.route.kind == RouteKind::Stream;
@@ -94,14 +94,14 @@
         }
         match whole(&mut dispatcher, answer).await {
             Ok(response) => return response,
-            Err(Some(give_up)) => return refusal(&dispatcher, &give_up),
+            Err(Some(give_up)) => return refusal(&mut dispatcher, &give_up),
             Err(None) => {}
         }
     }
 }
 
 /// Returns a final answer of the entry's own.
-fn refusal(dispatcher: &RequestDispatcher, give_up: &GiveUp) -> Response<CallerBody> {
+fn refusal(dispatcher: &mut RequestDispatcher, give_up: &GiveUp) -> Response<CallerBody> {
     let request = &dispatcher.request;
     log::warn!(
         target: part::REQUEST,
@@ -111,7 +111,7 @@
         "request given up"
     );
     let outcome = if give_up.retry_after.is_some() { "refused" } else { "failed" };
-    dispatcher.state.metrics.note_request(&request.route.name, outcome);
+    dispatcher.note_end(outcome);
     let mut response = Response::new(CallerBody::Whole(None));
     *response.status_mut() = give_up.status;
     if let Some(span) = give_up.retry_after {
@@ -151,7 +151,6 @@
     }
     let request = &dispatcher.request;
     let outcome = if head.status.is_success() { "served" } else { "failed_at_endpoint" };
-    dispatcher.state.metrics.note_request(&request.route.name, outcome);
     log::info!(
         target: part::REQUEST,
         request = &*request.id, route = &*request.route.name, outcome = outcome,
@@ -159,6 +158,7 @@
         total_ms = millis(clock::now().since(request.arrived));
         "request ended"
     );
+    dispatcher.note_end(outcome);
     let headers = caller_headers(dispatcher, &head.headers);
     let mut response = Response::new(CallerBody::Whole((!bytes.is_empty()).then_some(bytes)));
     *response.status_mut() = head.status;
@@ -338,7 +338,7 @@
         self.progress.get_or_insert_with(|| StreamProgress::new(now)).note(now, events);
     }
 
-    fn finish(&self, outcome: &'static str) {
+    fn finish(&mut self, outcome: &'static str) {
         let request = &self.dispatcher.request;
         let progress = self.progress.as_ref();
         log::info!(
@@ -351,11 +351,11 @@
             total_ms = millis(clock::now().since(request.arrived));
             "stream ended"
         );
-        self.dispatcher.state.metrics.note_request(&request.route.name, outcome);
+        self.dispatcher.note_end(outcome);
     }
 
     /// Ends the stream so that it does not look complete.
-    async fn break_off(&self, reason: &str) {
+    async fn break_off(&mut self, reason: &str) {
         let request = &self.dispatcher.request;
         log::warn!(
             target: part::REQUEST,
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -25,16 +25,19 @@
 const WAITING_WEIGHT: f64 = 2_000.0;
 
 /// Cost of reading shared parts again, as a multiple of their tokens.
-const REREAD_WEIGHT: f64 = 40.0;
+const REREAD_WEIGHT: f64 = 100.0;
 
 /// Tokens of shared parts from which the cost of each grows with their number: the longer an
 /// endpoint reads, the more of its streams it delays for long.
 const SHORT_PART: f64 = 1_000.0;
 
+/// Share of all slots in use below which endpoints keep no room from long prompts.
+const CALM_SHARE: f64 = 0.3;
+
 /// Share of its load limit that an endpoint keeps from a request, times the share of the prompt
 /// that it would have to read again. Under overload that reading costs more than the request is
 /// worth, and its caller may come back.
-const REREAD_ROOM: f64 = 1.2;
+const REREAD_ROOM: f64 = 1.7;
 
 /// Share of its reading that a part costs at the second endpoint that may hold it; it is read
 /// there once and then kept.
@@ -171,48 +174,65 @@
         request: &PlacedRequest,
         excluded: &[EndpointKey],
     ) -> Result<PlaceChoice, DecisionReason> {
-        let open = |(key, state): &(EndpointKey, &EndpointState)| {
-            *state.spec.service == *request.service
-                && !state.spec.leaving
-                && !excluded.contains(key)
-        };
-        let has_room = |(_, state): &(EndpointKey, &EndpointState)| {
-            let limit = request.load_limit(state.spec.slots, state.strict);
-            let prompt = f64::from(request.prompt_tokens.max(1));
-            let kept = REREAD_ROOM * self.reread(now, state, request) / prompt;
-            state.load(now) < limit * (1.0 - kept.min(1.0)) && self.has_memory(now, state, request)
-        };
-        let is_open = self.endpoints.iter().any(|row| open(&row));
-        let best = self
+        let open: Vec<(EndpointKey, &EndpointState)> = self
             .endpoints
             .iter()
-            .filter(open)
-            .filter(has_room)
+            .filter(|(key, state)| {
+                *state.spec.service == *request.service
+                    && !state.spec.leaving
+                    && !excluded.contains(key)
+            })
+            .collect();
+        if open.is_empty() {
+            return Err(DecisionReason::NoEndpoint);
+        }
+        let calm = is_calm(now, &open);
+        let best = open
+            .iter()
+            .filter(|(_, state)| self.has_room(now, state, request, calm))
             .map(|(key, state)| {
                 let order = (state.lapsed, state.rests(now));
-                (order, self.cost(now, state, request), key)
+                (order, self.cost(now, state, request), *key)
             })
             .min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("costs are numbers"));
-        let Some((_, cost, endpoint)) = best else {
-            let reason =
-                if is_open { DecisionReason::QueueFull } else { DecisionReason::NoEndpoint };
-            return Err(reason);
-        };
+        let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::QueueFull) };
+        Ok(self.choice(now, endpoint, cost, request))
+    }
+
+    fn choice(
+        &self,
+        now: TimePoint,
+        endpoint: EndpointKey,
+        cost: f64,
+        request: &PlacedRequest,
+    ) -> PlaceChoice {
         let state = &self.endpoints[endpoint];
-        let cached = request.affinity_part().is_some_and(|part| state.holds(now, part.id));
-        Ok(PlaceChoice {
+        let part = request.affinity_part();
+        PlaceChoice {
             endpoint,
             name: state.spec.name.clone(),
             cost,
-            cached,
+            cached: part.is_some_and(|part| state.holds(now, part.id)),
             ahead: state.prefill(now) as u32,
             load: state.load(now) as u32,
             strict: state.strict,
-            home_rank: request
-                .affinity_part()
-                .and_then(|part| self.home_rank(part.id, state, request)),
+            home_rank: part.and_then(|part| self.home_rank(part.id, state, request)),
             others_age: state.others.map(|(at, _)| now.since(at)),
-        })
+        }
+    }
+
+    /// Returns whether an endpoint may take a request beside those it has.
+    fn has_room(
+        &self,
+        now: TimePoint,
+        state: &EndpointState,
+        request: &PlacedRequest,
+        calm: bool,
+    ) -> bool {
+        let limit = request.load_limit(state.spec.slots, state.strict);
+        let prompt = f64::from(request.prompt_tokens.max(1));
+        let kept = if calm { 0.0 } else { REREAD_ROOM * self.reread(now, state, request) / prompt };
+        state.load(now) < limit * (1.0 - kept.min(1.0)) && self.has_memory(now, state, request)
     }
 
     /// Returns whether a request fits the endpoint's memory beside those that are there.
@@ -447,3 +467,10 @@
         }
     }
 }
+
+/// Returns whether most slots of the endpoints are free.
+fn is_calm(now: TimePoint, endpoints: &[(EndpointKey, &EndpointState)]) -> bool {
+    let slots: f64 = endpoints.iter().map(|(_, state)| f64::from(state.spec.slots)).sum();
+    let load: f64 = endpoints.iter().map(|(_, state)| state.load(now)).sum();
+    load < CALM_SHARE * slots
+}
