--- /dev/null
+++ b/crates/kernel/benches/place.rs
@@ -0,0 +1,54 @@
+//! The choice of an endpoint by an entry that speaks to endpoints itself.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use pimentorock_kernel::{
+    place::{PlacedEndpoint, PlacedRequest, PlacementTable, PromptPart},
+    time::TimePoint,
+};
+
+const NOW: TimePoint = TimePoint::from_millis(1_000);
+
+fn table(count: usize) -> PlacementTable {
+    let mut table = PlacementTable::new("d0");
+    for index in 0..count {
+        table.put(PlacedEndpoint {
+            name: format!("i-{index:010}").into(),
+            service: "engine".into(),
+            domain: format!("d{}", index % 4).into(),
+            slots: 64,
+            leaving: false,
+        });
+    }
+    table.divide_services(&["engine".into()]);
+    table
+}
+
+fn choice(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("place");
+    for count in [10, 100, 600] {
+        let table = table(count);
+        let mut part = 0;
+        group.bench_function(BenchmarkId::new("choose", count), |bencher| {
+            bencher.iter(|| {
+                part += 1;
+                let parts = vec![
+                    PromptPart { id: part, tokens: 5_000 },
+                    PromptPart { id: part + 1, tokens: 6_000 },
+                ];
+                let request = PlacedRequest {
+                    service: "engine".into(),
+                    prompt_tokens: 11_000,
+                    output_tokens: 300,
+                    needed_rate: 25.0,
+                    strict: false,
+                    parts,
+                };
+                table.choose(NOW, &request, &[]).map(|choice| choice.endpoint)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, choice);
+criterion_main!(benches);
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -72,6 +72,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct EndpointState {
     pub(super) spec: PlacedEndpoint,
+    /// Hash of its name.
+    pub(super) hash: u64,
     /// Requests of this entry that have no answer yet or whose answer is under way.
     pub(super) in_flight: u32,
     /// Prompt tokens of this entry's requests that have no first token yet.
@@ -93,6 +95,7 @@
 impl EndpointState {
     pub(super) fn new(spec: PlacedEndpoint) -> EndpointState {
         EndpointState {
+            hash: hash_text(&spec.name),
             spec,
             in_flight: 0,
             prefill: 0.0,
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -9,6 +9,7 @@
 mod division;
 mod endpoint;
 mod endpoint_book;
+mod part_homes;
 mod request;
 mod table;
 mod work;
--- /dev/null
+++ b/crates/kernel/src/place/part_homes.rs
@@ -0,0 +1,29 @@
+//! The endpoints that should hold a part of prompts.
+
+use crate::ids::EndpointKey;
+
+/// The two endpoints with the highest scores for a part.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PartHomes {
+    first: Option<(u64, EndpointKey)>,
+    second: Option<(u64, EndpointKey)>,
+}
+
+impl PartHomes {
+    /// Takes an endpoint with its score.
+    pub(super) fn offer(&mut self, score: u64, endpoint: EndpointKey) {
+        let offered = Some((score, endpoint));
+        if self.first.is_none_or(|(first, _)| score > first) {
+            self.second = self.first;
+            self.first = offered;
+        } else if self.second.is_none_or(|(second, _)| score > second) {
+            self.second = offered;
+        }
+    }
+
+    /// Returns the place of an endpoint in the order, if it is one of the two.
+    pub(super) fn rank(&self, endpoint: EndpointKey) -> Option<usize> {
+        let homes = [self.first, self.second];
+        homes.iter().position(|home| home.is_some_and(|(_, key)| key == endpoint))
+    }
+}
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -8,10 +8,10 @@
     ids::EndpointKey,
     place::{
         EndpointSample, LoadRow, PlacedEndpoint, PlacedRequest, WorkTicket,
-        division::EndpointDivision, endpoint::EndpointState,
+        division::EndpointDivision, endpoint::EndpointState, part_homes::PartHomes,
     },
     reason::DecisionReason,
-    route::{hash_text, mix},
+    route::mix,
     time::TimePoint,
 };
 
@@ -37,7 +37,7 @@
 /// Share of its load limit that an endpoint keeps from a request, times the share of the prompt
 /// that it would have to read again. Under overload that reading costs more than the request is
 /// worth, and its caller may come back.
-const REREAD_ROOM: f64 = 1.7;
+const REREAD_ROOM: f64 = 2.4;
 
 /// Share of its reading that a part costs at the second endpoint that may hold it; it is read
 /// there once and then kept.
@@ -86,7 +86,7 @@
     pub load: u32,
     /// Whether it is kept for strict classes.
     pub strict: bool,
-    /// Its place among the endpoints that should hold the request's shared parts.
+    /// Its place among the two endpoints that should hold the request's shared parts.
     pub home_rank: Option<usize>,
     /// Age of what is known of other entries' requests.
     pub others_age: Option<Duration>,
@@ -187,16 +187,18 @@
             return Err(DecisionReason::NoEndpoint);
         }
         let calm = is_calm(now, &open);
+        let homes = self.homes(request);
         let best = open
             .iter()
-            .filter(|(_, state)| self.has_room(now, state, request, calm))
-            .map(|(key, state)| {
+            .map(|(key, state)| (*key, *state, self.reread(now, *key, request, &homes)))
+            .filter(|(_, state, reread)| self.has_room(now, state, request, *reread, calm))
+            .map(|(key, state, reread)| {
                 let order = (state.lapsed, state.rests(now));
-                (order, self.cost(now, state, request), *key)
+                (order, self.cost(now, state, request, reread), key)
             })
             .min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("costs are numbers"));
         let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::QueueFull) };
-        Ok(self.choice(now, endpoint, cost, request))
+        Ok(self.choice(now, endpoint, cost, request, homes.rank(endpoint)))
     }
 
     fn choice(
@@ -205,6 +207,7 @@
         endpoint: EndpointKey,
         cost: f64,
         request: &PlacedRequest,
+        home_rank: Option<usize>,
     ) -> PlaceChoice {
         let state = &self.endpoints[endpoint];
         let part = request.affinity_part();
@@ -216,7 +219,7 @@
             ahead: state.prefill(now) as u32,
             load: state.load(now) as u32,
             strict: state.strict,
-            home_rank: part.and_then(|part| self.home_rank(part.id, state, request)),
+            home_rank,
             others_age: state.others.map(|(at, _)| now.since(at)),
         }
     }
@@ -227,11 +230,12 @@
         now: TimePoint,
         state: &EndpointState,
         request: &PlacedRequest,
+        reread: f64,
         calm: bool,
     ) -> bool {
         let limit = request.load_limit(state.spec.slots, state.strict);
         let prompt = f64::from(request.prompt_tokens.max(1));
-        let kept = if calm { 0.0 } else { REREAD_ROOM * self.reread(now, state, request) / prompt };
+        let kept = if calm { 0.0 } else { REREAD_ROOM * reread / prompt };
         state.load(now) < limit * (1.0 - kept.min(1.0)) && self.has_memory(now, state, request)
     }
 
@@ -350,7 +354,7 @@
     pub fn own_load(&self) -> Vec<LoadRow> {
         let busy = self.endpoints.values().filter(|state| state.in_flight > 0);
         busy.map(|state| LoadRow {
-            endpoint: LoadRow::endpoint_hash(&state.spec.name),
+            endpoint: state.hash as u32,
             in_flight: state.in_flight,
             prefill: state.prefill as u32,
             memory: state.memory.min(u64::from(u32::MAX)) as u32,
@@ -358,11 +362,13 @@
         .collect()
     }
 
-    /// Takes what all other entries have at the endpoints; those not named have nothing.
+    /// Takes what all other entries have at the endpoints, in the order of their hashes; those not
+    /// named have nothing.
     pub fn note_others(&mut self, now: TimePoint, rows: &[LoadRow]) {
         for state in self.endpoints.values_mut() {
-            let endpoint = LoadRow::endpoint_hash(&state.spec.name);
-            let row = rows.iter().find(|row| row.endpoint == endpoint).copied();
+            let endpoint = state.hash as u32;
+            let row = rows.binary_search_by_key(&endpoint, |row| row.endpoint);
+            let row = row.ok().map(|index| rows[index]);
             let none = LoadRow { endpoint, in_flight: 0, prefill: 0, memory: 0 };
             state.others = Some((now, row.unwrap_or(none)));
         }
@@ -375,10 +381,15 @@
         }
     }
 
-    fn cost(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
+    fn cost(
+        &self,
+        now: TimePoint,
+        state: &EndpointState,
+        request: &PlacedRequest,
+        reread: f64,
+    ) -> f64 {
         let prompt = f64::from(request.prompt_tokens);
         let ahead = state.prefill(now);
-        let reread = self.reread(now, state, request);
         let work = ahead
             + REQUEST_WEIGHT * state.load(now)
             + WAITING_WEIGHT * f64::from(state.waiting(now));
@@ -396,44 +407,43 @@
         work + mixed + distance + REREAD_WEIGHT * reread * length
     }
 
-    /// Returns the tokens of shared parts that `state` probably does not hold.
-    fn reread(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> f64 {
+    /// Returns the endpoints that should hold the last shared part of a request.
+    ///
+    /// All entries agree on them without asking each other: they are the two that the part and the
+    /// endpoint's name hash highest for.
+    fn homes(&self, request: &PlacedRequest) -> PartHomes {
+        let Some(part) = request.affinity_part() else { return PartHomes::default() };
+        let like = self.endpoints.iter().filter(|(_, state)| {
+            *state.spec.service == *request.service
+                && !state.spec.leaving
+                && state.strict == request.strict
+        });
+        let mut homes = PartHomes::default();
+        for (key, state) in like {
+            homes.offer(mix(part.id, state.hash), key);
+        }
+        homes
+    }
+
+    /// Returns the tokens of shared parts that an endpoint probably does not hold.
+    fn reread(
+        &self,
+        now: TimePoint,
+        endpoint: EndpointKey,
+        request: &PlacedRequest,
+        homes: &PartHomes,
+    ) -> f64 {
         let Some(part) = request.affinity_part() else { return 0.0 };
-        if state.holds(now, part.id) {
+        if self.endpoints[endpoint].holds(now, part.id) {
             return 0.0;
         }
         let tokens = f64::from(request.shared_tokens());
-        match self.home_rank(part.id, state, request) {
+        match homes.rank(endpoint) {
             Some(0) => 0.0,
             // Two endpoints may hold a part, so that neither is overrun by a part in demand.
-            Some(1) => SECOND_HOME * tokens,
-            _ => tokens,
-        }
-    }
-
-    /// Returns the place of an endpoint in the order of those that should hold a part; none if it
-    /// is not kept for requests like this one.
-    ///
-    /// All entries agree on that order without asking each other: it is that of hashes of the
-    /// part's and the endpoints' names.
-    fn home_rank(
-        &self,
-        part: u64,
-        state: &EndpointState,
-        request: &PlacedRequest,
-    ) -> Option<usize> {
-        if state.strict != request.strict {
-            return None;
+            Some(_) => SECOND_HOME * tokens,
+            None => tokens,
         }
-        let score = |state: &EndpointState| mix(part, hash_text(&state.spec.name));
-        let own = score(state);
-        let higher = self.endpoints.values().filter(|other| {
-            *other.spec.service == *state.spec.service
-                && !other.spec.leaving
-                && other.strict == request.strict
-                && score(other) > own
-        });
-        Some(higher.count())
     }
 
     /// Decides anew which endpoints are kept for strict classes.
@@ -443,8 +453,7 @@
     fn divide(&mut self) {
         let mut services: HashMap<Box<str>, Vec<DividedRow>> = HashMap::new();
         for (key, state) in self.endpoints.iter().filter(|(_, state)| !state.spec.leaving) {
-            let hash = hash_text(&state.spec.name);
-            let row = (key, hash, state.spec.domain.clone());
+            let row = (key, state.hash, state.spec.domain.clone());
             services.entry(state.spec.service.clone()).or_default().push(row);
         }
         for (service, mut rows) in services {
