--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -236,7 +236,7 @@
         text: &str,
         known: impl Iterator<Item = &'n str> + Clone,
     ) {
-        let hint = nearest_hint(text, known).unwrap_or_else(|| "see docs/OPERATING.md".into());
+        let hint = nearest_hint(text, known).unwrap_or_else(|| "see docs/OPERATIONS.md".into());
         sink.report_with_hint(&self.field_path(name), format!("\"{text}\" is not known"), hint);
     }
 
