--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 * `state` is what requests share: the `route_table` in force, the endpoints, the budget.
 * `follow` keeps that in step with the store and, while the store refuses this host, with `peer`s.
 * `duty` counts usage and reports it.
-* `logs` and `metrics` tell operators what was decided.
+* `logs`, [`log_queue`] and `metrics` tell operators what was decided.
 */
 
 mod callers;
@@ -29,6 +29,7 @@
 mod follow;
 pub mod link;
 mod link_pool;
+pub mod log_queue;
 mod logs;
 mod metrics;
 mod peer;
--- /dev/null
+++ b/crates/gateway/src/log_queue.rs
@@ -0,0 +1,83 @@
+//! Lines on their way to a reader that may be slow.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    time::Duration,
+};
+
+/// Lines that wait for a slow reader; further ones are counted and dropped.
+pub const MAX_WAITING_LINES: usize = 4_096;
+
+/// Time for which lines are gathered before they are written, to save system calls.
+const GATHER_SPAN: Duration = Duration::from_millis(200);
+
+/// A bounded queue of lines with a thread that writes them.
+///
+/// A push never waits. Lines that find the queue full are dropped, counted, and told of in a line
+/// of their own once the reader goes on.
+#[derive(Clone, Debug)]
+pub struct LogQueue {
+    sender: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LogQueue {
+    /// Starts a thread that writes to `writer`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no thread can be had.
+    pub fn start(writer: impl Write + Send + 'static) -> io::Result<LogQueue> {
+        let (sender, lines) = sync_channel(MAX_WAITING_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&dropped);
+        std::thread::Builder::new()
+            .name("logs".into())
+            .spawn(move || write_lines(writer, &lines, &counted))?;
+        Ok(LogQueue { sender, dropped })
+    }
+
+    /// Takes a line without its end, or drops it if too many wait.
+    pub fn push(&self, line: String) {
+        if self.sender.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the number of dropped lines.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+fn write_lines(mut writer: impl Write, lines: &Receiver<String>, dropped: &AtomicU64) {
+    let mut told = 0;
+    while let Ok(first) = lines.recv() {
+        std::thread::sleep(GATHER_SPAN);
+        let mut text = first;
+        text.push('\n');
+        for line in lines.try_iter().take(MAX_WAITING_LINES) {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        let now_dropped = dropped.load(Ordering::Relaxed);
+        if now_dropped > told {
+            text.push_str(&dropped_line(now_dropped - told));
+            told = now_dropped;
+        }
+        // Nobody may be reading, which does not concern the service.
+        let _ = writer.write_all(text.as_bytes());
+    }
+}
+
+fn dropped_line(count: u64) -> String {
+    let line = serde_json::json!({
+        "level": "WARN", "part": "logs", "message": "lines were dropped", "dropped": count,
+    });
+    format!("{line}\n")
+}
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -2,13 +2,8 @@
 
 use std::{
     collections::BTreeMap,
-    io::{self, Write},
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
-    },
-    time::Duration,
+    io,
+    sync::{Arc, OnceLock},
 };
 
 use log::{
@@ -19,6 +14,7 @@
 use crate::{
     clock::wall_ms,
     error::{ErrorKind, GatewayError},
+    log_queue::LogQueue,
 };
 
 /// Parts of the entry; each is the target of its log calls.
@@ -31,18 +27,12 @@
     pub(crate) const REQUEST: &str = "request";
 }
 
-/// Lines that wait for a slow reader; further ones are counted and dropped.
-const MAX_WAITING_LINES: usize = 4_096;
-
-/// Time for which lines are gathered before they are written, to save system calls.
-const GATHER_SPAN: Duration = Duration::from_millis(200);
-
-/// Lines that were dropped because nobody read them in time.
-static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// The queue of the process's log, for the count of dropped lines.
+static QUEUE: OnceLock<LogQueue> = OnceLock::new();
 
 /// Returns the lines dropped so far.
 pub(crate) fn dropped() -> u64 {
-    DROPPED.load(Ordering::Relaxed)
+    QUEUE.get().map_or(0, LogQueue::dropped)
 }
 
 /// Starts logging to standard output.
@@ -52,13 +42,10 @@
 /// Fails if another logger was started before or no thread can be had.
 pub(crate) fn start(process: &str) -> Result<(), GatewayError> {
     let failed = |source| GatewayError::new(ErrorKind::Start { part: "logging", source });
-    let (sender, lines) = sync_channel(MAX_WAITING_LINES);
-    std::thread::Builder::new()
-        .name("logs".into())
-        .spawn(move || write_lines(&lines))
-        .map_err(failed)?;
+    let queue = LogQueue::start(io::stdout()).map_err(failed)?;
+    let queue = QUEUE.get_or_init(|| queue);
     let process: Arc<str> = process.into();
-    let output = fern::Output::call(move |record| send_line(&sender, &process, record));
+    let output = fern::Output::call(move |record| queue.push(json_line(&process, record)));
     let mut dispatch = fern::Dispatch::new().level(LevelFilter::Warn);
     for name in [part::CALLERS, part::DUTY, part::FOLLOW, part::PEER, part::PROCESS, part::REQUEST]
     {
@@ -67,12 +54,6 @@
     dispatch.chain(output).apply().map_err(|error| failed(io::Error::other(error)))
 }
 
-fn send_line(sender: &SyncSender<String>, process: &str, record: &Record<'_>) {
-    if sender.try_send(json_line(process, record)).is_err() {
-        DROPPED.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
 fn json_line(process: &str, record: &Record<'_>) -> String {
     let mut fields = FieldVisitor(BTreeMap::new());
     // A field that cannot be visited is left out; the message stands.
@@ -105,28 +86,3 @@
         Ok(())
     }
 }
-
-fn write_lines(lines: &Receiver<String>) {
-    let mut told = 0;
-    while let Ok(first) = lines.recv() {
-        std::thread::sleep(GATHER_SPAN);
-        let mut text = first;
-        text.push('\n');
-        for line in lines.try_iter() {
-            text.push_str(&line);
-            text.push('\n');
-        }
-        let dropped = dropped();
-        if dropped > told {
-            let line = serde_json::json!({
-                "at_ms": wall_ms(), "level": "WARN", "part": "logs",
-                "message": "lines were dropped", "dropped": dropped - told,
-            });
-            text.push_str(&line.to_string());
-            text.push('\n');
-            told = dropped;
-        }
-        // Nobody may be reading, which does not concern the service.
-        let _ = io::stdout().write_all(text.as_bytes());
-    }
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -302,6 +302,7 @@
         let left = self.dispatcher.request.time_left();
         let deadline = tokio::time::sleep(left);
         tokio::pin!(deadline);
+        let mut first = true;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -319,6 +320,10 @@
                 },
             };
             let Some(events) = splitter.push(&data) else { continue };
+            if first && !follows(self.last_event.as_deref(), events.first_id.as_deref()) {
+                return PartEnd::Broken("it goes on at another event".into());
+            }
+            first = false;
             self.note_events(events.count);
             answer.work.started();
             if let Some(id) = events.last_id {
@@ -370,6 +375,16 @@
     }
 }
 
+/// Returns whether an event may follow the last one that the caller has; identifiers that are no
+/// numbers cannot be compared.
+fn follows(last: Option<&str>, next: Option<&str>) -> bool {
+    let number = |id: Option<&str>| id.and_then(|id| id.parse::<u64>().ok());
+    match (number(last), number(next)) {
+        (Some(last), Some(next)) => next == last + 1,
+        _ => true,
+    }
+}
+
 /// Longest time that a broken stream waits for a slow caller.
 const BREAK_TIME: Duration = Duration::from_secs(2);
 
--- /dev/null
+++ b/crates/gateway/tests/log_queue.rs
@@ -0,0 +1,56 @@
+//! Log lines while nobody reads them.
+
+use std::{
+    io::{self, Write},
+    sync::mpsc::{Receiver, Sender, channel},
+    time::Duration,
+};
+
+use pimentorock_gateway::log_queue::{LogQueue, MAX_WAITING_LINES};
+
+/// A writer that waits for leave before each write.
+struct HeldWriter {
+    leave: Receiver<()>,
+    written: Sender<String>,
+}
+
+impl Write for HeldWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.leave.recv().map_err(io::Error::other)?;
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        self.written.send(text).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_stands_still_costs_lines_and_no_time() {
+    let (give_leave, leave) = channel();
+    let (written, writes) = channel();
+    let queue = LogQueue::start(HeldWriter { leave, written }).unwrap();
+    let pushed = 4 * MAX_WAITING_LINES as u64;
+    // Would never return if a push waited, as nothing is written before there is leave.
+    for number in 0..pushed {
+        queue.push(format!("line {number}"));
+    }
+    assert!(queue.dropped() >= pushed - 3 * MAX_WAITING_LINES as u64);
+    let mut lines = 0;
+    let mut told = 0;
+    while lines + told < pushed {
+        give_leave.send(()).unwrap();
+        let text = writes.recv_timeout(Duration::from_secs(20)).expect("lines go on");
+        for line in text.lines() {
+            if line.starts_with("line ") {
+                lines += 1;
+            } else {
+                let told_line: serde_json::Value = serde_json::from_str(line).unwrap();
+                told += told_line["dropped"].as_u64().unwrap();
+            }
+        }
+    }
+    assert_eq!((lines + told, told), (pushed, queue.dropped()));
+}
