--- a/crates/kernel/src/place/division.rs
+++ b/crates/kernel/src/place/division.rs
@@ -16,7 +16,7 @@
 
 /// Endpoints that strict classes get, in relation to their share of the work; they need some
 /// room, as their requests must not wait.
-const STRICT_ROOM: f64 = 1.4;
+const STRICT_ROOM: f64 = 1.1;
 
 /// Least share of the endpoints that strict classes get: a burst of other work must not drive
 /// them out, and their requests last longer than the burst takes to come.
