--- /dev/null
+++ b/crates/gateway/src/acceptor.rs
@@ -0,0 +1,38 @@
+//! Accepts connections.
+
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::{link, logs::part};
+
+/// Time without accepting after a failure, which is mostly a lack of descriptors.
+const REST_AFTER_FAILURE: Duration = Duration::from_millis(20);
+
+/// Hands each connection to `take` until `stop` is cancelled.
+pub(crate) async fn accept_each(
+    listener: TcpListener,
+    stop: CancellationToken,
+    take: impl Fn(TcpStream),
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                if let Err(error) = link::guard(&stream) {
+                    let error = error.to_string();
+                    log::warn!(target: part::CALLERS, error = error; "socket refused options");
+                }
+                take(stream);
+            }
+            Err(error) => {
+                log::warn!(target: part::CALLERS, error = error.to_string(); "accept failed");
+                tokio::time::sleep(REST_AFTER_FAILURE).await;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -23,10 +23,10 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
+    acceptor::accept_each,
     clock,
     dispatcher::{CallerRequest, RequestDispatcher},
     fleet_config::{CallerLimits, RouteSpec},
-    link,
     logs::part,
     relay::{self, CallerBody, plain},
     route_table::RouteTable,
@@ -84,28 +84,13 @@
     stop: CancellationToken,
     tracker: TaskTracker,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = connection(Arc::clone(&state), stream, stop.clone());
-                tracker.spawn(connection);
-            }
-            Err(error) => {
-                log::warn!(target: part::CALLERS, error = error.to_string(); "accept failed");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
+    let take = |stream| {
+        tracker.spawn(connection(Arc::clone(&state), stream, stop.clone()));
+    };
+    accept_each(listener, stop.clone(), take).await;
 }
 
 async fn connection(state: Arc<GatewayState>, stream: TcpStream, stop: CancellationToken) {
-    if let Err(error) = link::guard(&stream) {
-        log::warn!(target: part::CALLERS, error = error.to_string(); "caller's socket refused options");
-    }
     let usage = Arc::new(ConnectionUse::default());
     let limits = limits(&state);
     let service = service_fn({
@@ -122,7 +107,8 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(None)
+        // The library counts the idle time before a head, too.
+        .header_read_timeout(limits.idle_time + limits.head_time)
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -16,7 +16,7 @@
     logs::part,
     peer::EntryShare,
     state::GatewayState,
-    store::{StoreError, StoreRecord, StoreTopic},
+    store::{REPORT_TIMEOUT, StoreError, StoreRecord, StoreTopic},
 };
 
 /// Time between shares while requests are counted.
@@ -34,12 +34,6 @@
 /// Time between looks of an entry that is not the hub, and that may have to take over.
 const STANDBY_PERIOD: Duration = Duration::from_secs(4);
 
-/// Longest time that one report may be on its way.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// Windows before the current one whose reports may still be due.
-const DUE_WINDOWS: u64 = 3;
-
 /// Key of the only record of the duty.
 const DUTY_KEY: &str = "usage";
 
@@ -176,7 +170,8 @@
     }
 
     fn oldest_due(&self) -> u64 {
-        (clock::wall_ms() / self.state.window_ms()).saturating_sub(DUE_WINDOWS)
+        let due = self.state.settings.usage_due.as_millis() as u64 / self.state.window_ms();
+        (clock::wall_ms() / self.state.window_ms()).saturating_sub(due + 1)
     }
 
     /// Returns whether a window may have to be closed or reported, or peers may be unknown.
@@ -304,9 +299,8 @@
         while let Some(report) = self.holder.next_report(clock::now(), REPORT_TIMEOUT, oldest) {
             let window = report.closed.window;
             let fencing = report.fencing.0;
-            let latest = clock::now() + REPORT_TIMEOUT;
             let name = self.state.process.name.clone();
-            let sent = (self.state.store.report)(name, report, latest).await;
+            let sent = (self.state.store.report)(name, report).await;
             match sent {
                 Ok(()) => {
                     log::info!(target: part::DUTY, window = window, fencing = fencing; "usage reported");
--- a/crates/gateway/src/fleet_config.rs
+++ b/crates/gateway/src/fleet_config.rs
@@ -41,8 +41,6 @@
     pub kind: RouteKind,
     /// Longest time a caller is kept waiting.
     pub timeout: Duration,
-    /// Target for the whole answer, or for the first event of a stream.
-    pub target: Duration,
     /// Longest pause between two events for which a stream is on time.
     pub pause_target: Option<Duration>,
     /// Whether its streams allow only short pauses, compared with others of their service;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 * `logs`, [`log_queue`] and `metrics` tell operators what was decided.
 */
 
+mod acceptor;
 mod callers;
 mod clock;
 mod dispatcher;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -13,7 +13,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
 
-use crate::{clock, link, logs::part, state::GatewayState, store::StoreRecord};
+use crate::{
+    acceptor::accept_each, clock, link, logs::part, state::GatewayState, store::StoreRecord,
+};
 
 /// Longest time to connect to a peer and hear from it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -110,15 +112,7 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        if let Err(error) = link::guard(&stream) {
-            log::warn!(target: part::PEER, error = error.to_string(); "socket refused options");
-        }
+    let take = |stream| {
         let framed = LengthDelimitedCodec::builder().new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let calls = BaseChannel::with_defaults(transport);
@@ -126,7 +120,8 @@
         tokio::spawn(calls.execute(server.serve()).for_each(|call| async {
             tokio::spawn(call);
         }));
-    }
+    };
+    accept_each(listener, stop, take).await;
 }
 
 /// Connections to other entries, kept for the next call.
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -7,10 +7,10 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::{link, logs::part, state::GatewayState};
+use crate::{acceptor::accept_each, state::GatewayState};
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -21,27 +21,20 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        if let Err(error) = link::guard(&stream) {
-            log::warn!(target: part::CALLERS, error = error.to_string(); "socket refused options");
-        }
-        let state = Arc::clone(&state);
-        tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let response = answer(&state, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let served =
-                http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-            if let Err(error) = served {
-                log::trace!("a connection for readiness ended: {error}");
-            }
-        });
+    let take = |stream| {
+        tokio::spawn(connection(Arc::clone(&state), stream));
+    };
+    accept_each(listener, stop, take).await;
+}
+
+async fn connection(state: Arc<GatewayState>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let response = answer(&state, &request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    if let Err(error) = served {
+        log::trace!("a connection for readiness ended: {error}");
     }
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use pimentorock_kernel::{duty::UsageReport, place::EndpointEntry, time::TimePoint};
+use pimentorock_kernel::{duty::UsageReport, place::EndpointEntry};
 
 use crate::fleet_config::FleetConfig;
 
@@ -76,9 +76,11 @@
 pub type AppendCall =
     Box<dyn Fn(StoreTopic, Box<str>, Bytes, Option<u64>) -> StoreResult<u64> + Send + Sync>;
 
-/// Sends a usage report in the name of a process, not later than the given time.
-pub type ReportCall =
-    Box<dyn Fn(Box<str>, UsageReport, TimePoint) -> StoreResult<()> + Send + Sync>;
+/// Sends a usage report in the name of a process; gives up within [`REPORT_TIMEOUT`].
+pub type ReportCall = Box<dyn Fn(Box<str>, UsageReport) -> StoreResult<()> + Send + Sync>;
+
+/// Longest time that one report may be on its way; a later one could cross a new holder's.
+pub const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The calls and formats of the platform's store.
 pub struct FleetStore {
