Give the usage duty up at a stop, and count windows by the time most entries have

Cause: rolls of all hosts missed windows, as each new holder waited 7.5 s for one that had stopped; a clock that jumped by 2 s put a fifth of the counts into wrong windows.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -32,7 +32,7 @@
 const NEW_SHARE: Duration = Duration::from_secs(6);
 
 /// Time between looks of an entry that is not the hub, and that may have to take over.
-const STANDBY_PERIOD: Duration = Duration::from_secs(4);
+const STANDBY_PERIOD: Duration = Duration::from_secs(2);
 
 /// Key of the only record of the duty.
 const DUTY_KEY: &str = "usage";
@@ -43,7 +43,7 @@
     /// It is due when counts changed some time ago, and right behind the end of a window.
     pub(crate) fn due_share(&self) -> Option<EntryShare> {
         let now = clock::now();
-        let wall_ms = clock::wall_ms();
+        let wall_ms = self.wall_ms();
         let window = self.window_ms();
         let usage = self.tally().share(wall_ms);
         let shared = self.shared();
@@ -98,7 +98,7 @@
 
 /// Returns the shares that may still matter, and forgets the others.
 fn recent_shares(state: &GatewayState) -> HashMap<Box<str>, EntryShare> {
-    let oldest = clock::wall_ms().saturating_sub(SHARE_LIFE.as_millis() as u64);
+    let oldest = state.wall_ms().saturating_sub(SHARE_LIFE.as_millis() as u64);
     let mut view = state.view();
     view.shares.retain(|_, share| share.usage.until_ms >= oldest);
     view.shares.clone()
@@ -127,7 +127,7 @@
     let mut task = DutyTask::new(state);
     while !stop.is_cancelled() {
         tokio::select! {
-            () = stop.cancelled() => return,
+            () = stop.cancelled() => return task.give_up().await,
             () = sleep(DUTY_PERIOD) => {}
         }
         task.step().await;
@@ -171,7 +171,7 @@
 
     fn oldest_due(&self) -> u64 {
         let due = self.state.settings.usage_due.as_millis() as u64 / self.state.window_ms();
-        (clock::wall_ms() / self.state.window_ms()).saturating_sub(due + 1)
+        (self.state.wall_ms() / self.state.window_ms()).saturating_sub(due + 1)
     }
 
     /// Returns whether a window may have to be closed or reported, or peers may be unknown.
@@ -179,7 +179,7 @@
     /// An entry that neither holds the duty nor is the hub looks seldom.
     fn is_due(&self) -> bool {
         let now = clock::now();
-        let current = clock::wall_ms() / self.state.window_ms();
+        let current = self.state.wall_ms() / self.state.window_ms();
         let open = self.holder.last_closed().is_none_or(|last| last + 1 < current);
         let mine = self.holder.holder().is_some_and(|(holder, _)| *holder == self.state.process);
         let hub = self.state.roster().hub(now) == HubChoice::Own;
@@ -248,7 +248,7 @@
 
     /// Notes an entry that shared lately, so that one that has just started finds its hub.
     fn note_peer(&self, now: TimePoint, share: &EntryShare) {
-        let age = clock::wall_ms().saturating_sub(share.usage.until_ms);
+        let age = self.state.wall_ms().saturating_sub(share.usage.until_ms);
         if age < NEW_SHARE.as_millis() as u64 {
             self.state.roster().note_heard(now, share.peer);
         }
@@ -260,25 +260,15 @@
         if !self.holder.may_close(sent) {
             return;
         }
-        let windows = self.book.closable(clock::wall_ms(), self.holder.last_closed());
+        let windows = self.book.closable(self.state.wall_ms(), self.holder.last_closed());
         let renewal = self.holder.needs_renewal(sent, REPORT_TIMEOUT, self.oldest_due());
         if windows.is_empty() && !renewal {
             return;
         }
         let numbers: Vec<u64> = windows.iter().map(|closed| closed.window).collect();
         let record = self.holder.record(windows);
-        let value = match serde_json::to_vec(&record) {
-            Ok(value) => Bytes::from(value),
-            Err(error) => {
-                log::warn!(target: part::DUTY, error = error.to_string(); "record has no JSON form");
-                return;
-            }
-        };
         let end = self.holder.end();
-        let appending =
-            (self.state.store.append)(StoreTopic::Duty, DUTY_KEY.into(), value, Some(end));
-        let appended = appending.await;
-        self.state.metrics.note_store_call("close", appended.is_ok());
+        let appended = self.append(&record).await;
         match appended {
             Ok(offset) => {
                 self.holder.appended(clock::now(), sent, offset, record);
@@ -294,6 +284,23 @@
         }
     }
 
+    /// Gives the duty up at the end of the process, so that another one need not wait for long.
+    async fn give_up(&mut self) {
+        let Some(record) = self.holder.release() else { return };
+        let appended = self.append(&record).await;
+        log::info!(target: part::DUTY, given_up = appended.is_ok(); "usage duty given up");
+    }
+
+    /// Appends a record where the topic ends as far as it was read.
+    async fn append(&self, record: &DutyRecord) -> Result<u64, StoreError> {
+        let value = serde_json::to_vec(record)
+            .map_err(|error| StoreError::Garbled(error.to_string().into()))?;
+        let (key, end) = (DUTY_KEY.into(), Some(self.holder.end()));
+        let appended = (self.state.store.append)(StoreTopic::Duty, key, value.into(), end).await;
+        self.state.metrics.note_store_call("close", appended.is_ok());
+        appended
+    }
+
     async fn send_reports(&mut self) {
         let oldest = self.oldest_due();
         while let Some(report) = self.holder.next_report(clock::now(), REPORT_TIMEOUT, oldest) {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -64,6 +64,8 @@
     pub(crate) endpoints_next: Option<u64>,
     /// What it has at endpoints.
     pub(crate) loads: Vec<LoadRow>,
+    /// Its wall clock, in milliseconds since 1970.
+    pub(crate) wall_ms: u64,
     /// What it counted, if that is to be shared.
     pub(crate) share: Option<EntryShare>,
 }
@@ -83,6 +85,8 @@
     pub(crate) loads: Vec<LoadRow>,
     /// Endpoints that strict classes get, by service.
     pub(crate) strict_counts: Vec<(Box<str>, u32)>,
+    /// What most wall clocks show, in milliseconds since 1970.
+    pub(crate) wall_ms: u64,
     /// Where entries are reached.
     pub(crate) entries: Vec<SocketAddr>,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -199,7 +199,8 @@
 /// Counts a request that began to run for its client account.
 fn note_start(dispatcher: &RequestDispatcher) {
     if let Some(account) = &dispatcher.request.account {
-        dispatcher.state.tally().note_start(clock::wall_ms(), account);
+        let wall_ms = dispatcher.state.wall_ms();
+        dispatcher.state.tally().note_start(wall_ms, account);
     }
 }
 
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use pimentorock_kernel::{
-    hub::{HubChoice, HubRoster, LoadBoard, MAX_STORE_AGE},
+    hub::{ClockBoard, HubChoice, HubRoster, LoadBoard, MAX_STORE_AGE},
     time::TimePoint,
 };
 
@@ -27,6 +27,7 @@
 pub(crate) struct SharedView {
     pub(crate) roster: HubRoster,
     pub(crate) board: LoadBoard,
+    pub(crate) clocks: ClockBoard,
     /// What entries counted that named this one their hub.
     pub(crate) shares: HashMap<Box<str>, EntryShare>,
     config: Option<StoreRecord>,
@@ -43,6 +44,7 @@
         SharedView {
             roster,
             board: LoadBoard::new(),
+            clocks: ClockBoard::new(),
             shares: HashMap::new(),
             config: None,
             endpoints: HashMap::new(),
@@ -121,6 +123,7 @@
             config_offset: view.config.as_ref().map(|record| record.offset),
             endpoints_next: view.endpoints_next,
             loads,
+            wall_ms: clock::wall_ms(),
             share,
         }
     }
@@ -136,6 +139,7 @@
         view.roster.note_heard(now, report.peer);
         view.board.take(now, self.process.clone(), own);
         let loads = view.board.others(now, &report.process);
+        view.clocks.take(now, &report.process, report.wall_ms, clock::wall_ms());
         view.board.take(now, report.process, report.loads);
         if let Some(share) = report.share {
             view.shares.insert(share.usage.process.to_string().into(), share);
@@ -149,6 +153,7 @@
             endpoints_next: view.endpoints_next,
             loads,
             strict_counts,
+            wall_ms: clock::wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
             entries: view.roster.entries(now),
         }
     }
@@ -168,6 +173,8 @@
             let mut table = self.table();
             table.note_others(now, &news.loads);
             table.take_strict_counts(now, &news.strict_counts);
+            let skew_ms = news.wall_ms as i64 - clock::wall_ms() as i64;
+            self.set_clock_skew(skew_ms);
         }
         let current = asked - std::time::Duration::from_millis(news.store_age_ms);
         let mut view = self.view();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
     },
 };
 
@@ -35,6 +35,10 @@
 /// not know of each other yet.
 const BUDGET_SHARE: f64 = 0.7;
 
+/// Difference of wall clocks that counts, in milliseconds; clocks are close to true time, and an
+/// exchange takes less.
+const LEAST_CLOCK_SKEW_MS: i64 = 250;
+
 /// What all requests of an entry share.
 #[derive(Debug)]
 pub(crate) struct GatewayState {
@@ -45,6 +49,8 @@
     pub(crate) routes: ArcSwapOption<RouteTable>,
     pub(crate) pool: LinkPool,
     pub(crate) metrics: GatewayMetrics,
+    /// Milliseconds by which most wall clocks are ahead of this host's.
+    clock_skew: AtomicI64,
     /// Whether the process is about to stop.
     pub(crate) draining: AtomicBool,
     view: Mutex<SharedView>,
@@ -79,6 +85,7 @@
             routes: ArcSwapOption::empty(),
             pool: LinkPool::default(),
             metrics: GatewayMetrics::new(),
+            clock_skew: AtomicI64::new(0),
             draining: AtomicBool::new(false),
             view: Mutex::new(SharedView::new(roster)),
             book: Mutex::new(EndpointBook::new()),
@@ -120,11 +127,28 @@
         self.shared.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the time of day in milliseconds since 1970 as most entries have it.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        clock::wall_ms().saturating_add_signed(self.clock_skew.load(Ordering::Relaxed))
+    }
+
+    /// Sets by how many milliseconds most wall clocks are ahead of this host's; a difference that
+    /// the way of the message explains does not count.
+    pub(crate) fn set_clock_skew(&self, skew_ms: i64) {
+        let skew_ms = if skew_ms.abs() < LEAST_CLOCK_SKEW_MS { 0 } else { skew_ms };
+        let before = self.clock_skew.swap(skew_ms, Ordering::Relaxed);
+        if (before == 0) != (skew_ms == 0) {
+            log::warn!(target: part::PEER, skew_ms = skew_ms; "wall clock differs from most others");
+        }
+    }
+
     /// Adds up the load of all entries, as the hub.
     pub(crate) fn note_own_board(&self) {
         let now = clock::now();
         let loads = self.view().board.others(now, &self.process);
         self.table().note_others(now, &loads);
+        let skew_ms = self.view().clocks.skew_ms(now);
+        self.set_clock_skew(skew_ms);
     }
 
     /// Returns whether this host should get new connections.
--- a/crates/kernel/src/duty/holder.rs
+++ b/crates/kernel/src/duty/holder.rs
@@ -17,6 +17,10 @@
 /// reports of two holders never interleave.
 pub const TAKEOVER_SPAN: Duration = Duration::from_millis(7_500);
 
+/// Time after a record that gave the duty up until another process may take over; so long, in
+/// which one host may act, another one, and the first again, must not pass within a lease.
+pub const RELEASED_SPAN: Duration = Duration::from_millis(3_500);
+
 /// Windows whose figures are kept for reports that are still due.
 const KEPT_WINDOWS: usize = 12;
 
@@ -39,6 +43,8 @@
     end: u64,
     holder: Option<ProcessId>,
     fencing: FencingNumber,
+    /// Whether the holder gave the duty up.
+    released: bool,
     /// When this process read the last record, or began to read.
     changed: TimePoint,
     acts_until: TimePoint,
@@ -55,6 +61,7 @@
             end: 0,
             holder: None,
             fencing: FencingNumber(0),
+            released: false,
             changed: now,
             acts_until: TimePoint::ZERO,
             closed: BTreeMap::new(),
@@ -89,6 +96,10 @@
         }
         self.fencing = record.fencing.unwrap_or(FencingNumber(offset));
         self.holder = Some(record.holder);
+        self.released = record.released;
+        if self.released {
+            self.acts_until = TimePoint::ZERO;
+        }
         for closed in record.windows {
             // The first figures of a window are final.
             self.closed.entry(closed.window).or_insert(closed);
@@ -110,27 +121,37 @@
     pub fn may_close(&self, now: TimePoint) -> bool {
         match &self.holder {
             None => self.end == 0 || self.silent(now),
-            Some(holder) => *holder == self.process || self.silent(now),
+            Some(holder) => (*holder == self.process && !self.released) || self.silent(now),
         }
     }
 
     fn silent(&self, now: TimePoint) -> bool {
-        now.since(self.changed) >= TAKEOVER_SPAN
+        let span = if self.released { RELEASED_SPAN } else { TAKEOVER_SPAN };
+        now.since(self.changed) >= span
+    }
+
+    /// Returns the record that gives the duty up, if this process holds it.
+    pub fn release(&self) -> Option<DutyRecord> {
+        let mine = self.holder.as_ref() == Some(&self.process) && !self.released;
+        mine.then(|| DutyRecord { released: true, ..self.record(Vec::new()) })
     }
 
     /// Returns the record that closes `windows` beside those that are closed already.
     pub fn record(&self, windows: Vec<ClosedWindow>) -> DutyRecord {
-        let mine = self.holder.as_ref() == Some(&self.process);
+        let mine = self.holder.as_ref() == Some(&self.process) && !self.released;
         let known = self.closed.values().cloned();
         let windows = known.chain(windows).collect();
         let fencing = mine.then_some(self.fencing);
-        DutyRecord { holder: self.process.clone(), fencing, windows }
+        DutyRecord { holder: self.process.clone(), fencing, windows, released: false }
     }
 
     /// Notes that the append begun at `sent` put `record` at `offset`.
     pub fn appended(&mut self, now: TimePoint, sent: TimePoint, offset: u64, record: DutyRecord) {
+        let released = record.released;
         self.read(now, offset, record);
-        self.acts_until = sent + ACT_SPAN;
+        if !released {
+            self.acts_until = sent + ACT_SPAN;
+        }
     }
 
     /// Returns whether this process may report until `now + needed`.
--- a/crates/kernel/src/duty/mod.rs
+++ b/crates/kernel/src/duty/mod.rs
@@ -11,7 +11,7 @@
 mod window_book;
 
 pub use self::{
-    holder::{ACT_SPAN, DutyHolder, TAKEOVER_SPAN, UsageReport},
+    holder::{ACT_SPAN, DutyHolder, RELEASED_SPAN, TAKEOVER_SPAN, UsageReport},
     record::{ClosedWindow, DutyRecord},
     share::{UsageShare, UsageTally},
     window_book::{LATEST_CLOSE, WindowBook},
--- a/crates/kernel/src/duty/record.rs
+++ b/crates/kernel/src/duty/record.rs
@@ -26,4 +26,7 @@
     pub fencing: Option<FencingNumber>,
     /// Windows whose figures never change again.
     pub windows: Vec<ClosedWindow>,
+    /// Whether the holder gives the duty up with this record.
+    #[serde(default)]
+    pub released: bool,
 }
--- a/crates/kernel/src/hub/mod.rs
+++ b/crates/kernel/src/hub/mod.rs
@@ -5,10 +5,12 @@
 //! load and counts, and hear the load of all others. No agreement is needed: an entry that
 //! cannot reach its hub, or whose hub has lost the store, reads for itself or asks the next.
 
+mod clock_board;
 mod load_board;
 mod roster;
 
 pub use self::{
+    clock_board::ClockBoard,
     load_board::LoadBoard,
     roster::{HubChoice, HubRoster, MAX_STORE_AGE, exchange_period},
 };
--- a/crates/kernel/tests/duty.rs
+++ b/crates/kernel/tests/duty.rs
@@ -4,8 +4,8 @@
 
 use pimentorock_kernel::{
     duty::{
-        ACT_SPAN, ClosedWindow, DutyHolder, DutyRecord, LATEST_CLOSE, TAKEOVER_SPAN, UsageShare,
-        UsageTally, WindowBook,
+        ACT_SPAN, ClosedWindow, DutyHolder, DutyRecord, LATEST_CLOSE, RELEASED_SPAN, TAKEOVER_SPAN,
+        UsageShare, UsageTally, WindowBook,
     },
     ids::ProcessId,
     time::TimePoint,
@@ -80,6 +80,14 @@
                 let (expected, record) = late.remove(0);
                 log.append(expected, record);
             }
+            2 if below(4) == 0 => {
+                let end = holders[index].end();
+                if let Some(record) = holders[index].release()
+                    && let Some(offset) = log.append(end, record.clone())
+                {
+                    holders[index].appended(now, now, offset, record);
+                }
+            }
             2..=4 => {
                 log.read_by(now, &mut holders[index]);
                 append(&mut log, &mut late, &mut holders[index], now, &mut below);
@@ -160,6 +168,24 @@
     assert!(TAKEOVER_SPAN > ACT_SPAN + 2 * REPORT_TIME);
 }
 
+#[test]
+fn a_duty_that_was_given_up_is_taken_over_sooner_but_not_within_a_lease() {
+    let start = TimePoint::from_millis(1_000);
+    let mut first = DutyHolder::new(start, process("a"));
+    let record = first.record(vec![closed(7, 3)]);
+    first.appended(start, start, 0, record);
+    let release = first.release().unwrap();
+    first.appended(start, start, 1, release.clone());
+    assert_eq!(first.next_report(start, REPORT_TIME, 0), None);
+    assert_eq!(first.release(), None);
+    let mut other = DutyHolder::new(start, process("b"));
+    other.read(start, 1, release);
+    assert!(!other.may_close(start + RELEASED_SPAN - Duration::from_millis(1)));
+    assert!(other.may_close(start + RELEASED_SPAN));
+    assert_eq!(other.record(Vec::new()).windows, [closed(7, 3)]);
+    assert!(RELEASED_SPAN > ACT_SPAN && RELEASED_SPAN < TAKEOVER_SPAN);
+}
+
 fn share(name: &str, until_ms: u64, counts: &[(u64, u64)]) -> UsageShare {
     let count = |&(window, count)| (window, BTreeMap::from([("team/a".into(), count)]));
     UsageShare { process: process(name), until_ms, counts: counts.iter().map(count).collect() }
--- a/crates/kernel/tests/hub.rs
+++ b/crates/kernel/tests/hub.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use pimentorock_kernel::{
-    hub::{HubChoice, HubRoster, LoadBoard, exchange_period},
+    hub::{ClockBoard, HubChoice, HubRoster, LoadBoard, exchange_period},
     ids::ProcessId,
     place::LoadRow,
     time::TimePoint,
@@ -76,3 +76,25 @@
     let later = NOW + Duration::from_secs(2);
     assert_eq!(board.others(later, &process("c")), []);
 }
+
+#[test]
+fn a_clock_that_jumped_is_set_right_by_most_others() {
+    let process = |name: &str| ProcessId { name: name.into(), incarnation: 1 };
+    // Clocks of the other entries, in milliseconds ahead of this one, and the skew.
+    let cases: [(&[i64], i64); 5] = [
+        (&[], 0),
+        (&[2_000], 0),
+        (&[1, 2_000, 2_001, 2_002], 2_000),
+        (&[3, -2_000, 2], 0),
+        (&[-2_000, -2_001], -2_000),
+    ];
+    for (clocks, skew) in cases {
+        let mut board = ClockBoard::new();
+        for (index, ahead) in clocks.iter().enumerate() {
+            let wall_ms = (1_000_000 + ahead) as u64;
+            board.take(NOW, &process(&format!("p{index}")), wall_ms, 1_000_000);
+        }
+        assert_eq!(board.skew_ms(NOW), skew, "{clocks:?}");
+        assert_eq!(board.skew_ms(NOW + Duration::from_secs(5)), 0);
+    }
+}
