Pass over short jumps of a host's own wall clock

Cause: where half of the hosts' clocks jump, a majority cannot tell which are right; but each host sees its own jump against the clock that counts since its start.

--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -123,7 +123,7 @@
             config_offset: view.config.as_ref().map(|record| record.offset),
             endpoints_next: view.endpoints_next,
             loads,
-            wall_ms: clock::wall_ms(),
+            wall_ms: self.own_wall_ms(),
             share,
         }
     }
@@ -139,7 +139,7 @@
         view.roster.note_heard(now, report.peer);
         view.board.take(now, self.process.clone(), own);
         let loads = view.board.others(now, &report.process);
-        view.clocks.take(now, &report.process, report.wall_ms, clock::wall_ms());
+        view.clocks.take(now, &report.process, report.wall_ms, self.own_wall_ms());
         view.board.take(now, report.process, report.loads);
         if let Some(share) = report.share {
             view.shares.insert(share.usage.process.to_string().into(), share);
@@ -153,7 +153,7 @@
             endpoints_next: view.endpoints_next,
             loads,
             strict_counts,
-            wall_ms: clock::wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
+            wall_ms: self.own_wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
             entries: view.roster.entries(now),
         }
     }
@@ -173,7 +173,7 @@
             let mut table = self.table();
             table.note_others(now, &news.loads);
             table.take_strict_counts(now, &news.strict_counts);
-            let skew_ms = news.wall_ms as i64 - clock::wall_ms() as i64;
+            let skew_ms = news.wall_ms as i64 - self.own_wall_ms() as i64;
             self.set_clock_skew(skew_ms);
         }
         let current = asked - std::time::Duration::from_millis(news.store_age_ms);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwapOption;
 use pimentorock_kernel::{
     duty::{UsageShare, UsageTally},
-    hub::HubRoster,
+    hub::{HubRoster, SteadyWall},
     ids::{EndpointKey, ProcessId},
     place::{BookChange, EndpointBook, PlacedEndpoint, PlacementTable},
     retry::{self, RetryBudget, RetryCase, RetryDecision},
@@ -49,6 +49,7 @@
     pub(crate) routes: ArcSwapOption<RouteTable>,
     pub(crate) pool: LinkPool,
     pub(crate) metrics: GatewayMetrics,
+    steady_wall: Mutex<SteadyWall>,
     /// Milliseconds by which most wall clocks are ahead of this host's.
     clock_skew: AtomicI64,
     /// Whether the process is about to stop.
@@ -85,6 +86,7 @@
             routes: ArcSwapOption::empty(),
             pool: LinkPool::default(),
             metrics: GatewayMetrics::new(),
+            steady_wall: Mutex::new(SteadyWall::new()),
             clock_skew: AtomicI64::new(0),
             draining: AtomicBool::new(false),
             view: Mutex::new(SharedView::new(roster)),
@@ -127,9 +129,15 @@
         self.shared.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns this host's time of day in milliseconds since 1970, without short jumps.
+    pub(crate) fn own_wall_ms(&self) -> u64 {
+        let mut wall = self.steady_wall.lock().expect("no holder of the lock panics");
+        wall.observe(clock::now(), clock::wall_ms())
+    }
+
     /// Returns the time of day in milliseconds since 1970 as most entries have it.
     pub(crate) fn wall_ms(&self) -> u64 {
-        clock::wall_ms().saturating_add_signed(self.clock_skew.load(Ordering::Relaxed))
+        self.own_wall_ms().saturating_add_signed(self.clock_skew.load(Ordering::Relaxed))
     }
 
     /// Sets by how many milliseconds most wall clocks are ahead of this host's; a difference that
--- a/crates/kernel/src/hub/mod.rs
+++ b/crates/kernel/src/hub/mod.rs
@@ -8,9 +8,11 @@
 mod clock_board;
 mod load_board;
 mod roster;
+mod steady_wall;
 
 pub use self::{
     clock_board::ClockBoard,
     load_board::LoadBoard,
     roster::{HubChoice, HubRoster, MAX_STORE_AGE, exchange_period},
+    steady_wall::SteadyWall,
 };
--- a/crates/kernel/tests/hub.rs
+++ b/crates/kernel/tests/hub.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use pimentorock_kernel::{
-    hub::{ClockBoard, HubChoice, HubRoster, LoadBoard, exchange_period},
+    hub::{ClockBoard, HubChoice, HubRoster, LoadBoard, SteadyWall, exchange_period},
     ids::ProcessId,
     place::LoadRow,
     time::TimePoint,
@@ -98,3 +98,26 @@
         assert_eq!(board.skew_ms(NOW + Duration::from_secs(5)), 0);
     }
 }
+
+#[test]
+fn a_short_jump_of_the_wall_clock_is_passed_over_and_a_lasting_one_is_followed() {
+    // Seconds on the monotonic clock, milliseconds of the wall clock's error, and the expected one.
+    let cases = [
+        (0, 0, 0),
+        (1, 100, 100),
+        (2, 50, 50),
+        (3, 2_050, 50),
+        (9, 2_050, 50),
+        (10, 60, 60),
+        (20, -3_000, 60),
+        (79, -3_000, 60),
+        (80, -3_000, -3_000),
+    ];
+    let mut clock = SteadyWall::new();
+    for (seconds, error, expected) in cases {
+        let now = TimePoint::from_millis(seconds * 1_000);
+        let truth = 1_700_000_000_000 + seconds * 1_000;
+        let shown = clock.observe(now, truth.saturating_add_signed(error));
+        assert_eq!(shown.wrapping_sub(truth) as i64, expected, "at {seconds} s");
+    }
+}
