Add a randomized fault soak of the hosted mode with real processes

Three entries as processes, a stand-in platform behind a loopback proxy (delay, reset, silence, one way), endpoints that refuse, lose and break answers; processes are killed, stopped, paused and reloaded, and configurations published. Checked: at most one run of what runs once, true refusals, whole and uncrossed answers, streams without gap or repeat, one set of figures a window, fencing numbers that never fall, service within 30 s after all faults.

--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,16 @@
+//! The fault soak of the hosted mode, with the real daemon.
+
+// The stand-ins are shared with the tests of `platform/`, which use more of them.
+#[allow(dead_code)]
+#[path = "../../../platform/tests/hosted/mini_server.rs"]
+mod mini_server;
+#[path = "../../../platform/tests/soak/mod.rs"]
+mod soak;
+#[allow(dead_code)]
+#[path = "../../../platform/tests/hosted/stand_in.rs"]
+mod stand_in;
+
+#[test]
+fn promises_hold_under_random_faults() {
+    soak::run(env!("CARGO_BIN_EXE_pimentorockd"));
+}
