Keep an entry's part of the retry allowance in step with the number of entries

Cause, found on reading: an entry fixed its part when the first request for a service came. After all processes were killed at once, each of 28 entries took a third of the reserve (its settings name three others), 6 times the allowance. Now the limits follow the roster, and 16 entries are assumed for the first 3 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -32,6 +32,9 @@
 /// Time between two calls of a hub to another entry, by which it makes itself known.
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time after the start by which an entry has heard of all others.
+const SETTLE_SPAN: Duration = Duration::from_secs(3);
+
 /// Time between questions to other entries while neither hub nor store tells anything.
 const SEEK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -179,6 +182,7 @@
 /// Exchanges news with the hub, or as the hub with others, until `stop` is cancelled.
 pub(crate) async fn exchange(state: Arc<GatewayState>, stop: CancellationToken) {
     let mut clients = PeerClients::default();
+    let started = clock::now();
     let mut sought = TimePoint::ZERO;
     let mut turn = 0;
     while !stop.is_cancelled() {
@@ -188,7 +192,9 @@
             let stale = now.since(view.current()) > MAX_STORE_AGE;
             (view.roster.hub(now), view.roster.entries(now).len(), stale)
         };
-        state.set_live_entries(entries);
+        if now.since(started) >= SETTLE_SPAN {
+            state.set_live_entries(entries);
+        }
         if let HubChoice::Peer(address) = hub {
             ask(&state, &mut clients, address, true).await;
         } else {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,6 +31,10 @@
     wire::WireCodec,
 };
 
+/// Entries that are assumed before others were heard, so that the allowance is not overdrawn by
+/// many that start together.
+const FIRST_ENTRIES: usize = 16;
+
 /// Share of the deployment's retry allowance that entries use; the rest covers entries that do
 /// not know of each other yet.
 const BUDGET_SHARE: f64 = 0.7;
@@ -72,7 +76,6 @@
     pub(crate) fn new(settings: GatewaySettings, codec: WireCodec, store: FleetStore) -> Self {
         let process = ProcessId { name: settings.name.clone(), incarnation: clock::wall_ms() };
         let window_ms = settings.usage_window.as_millis() as u64;
-        let known = settings.seeds.len().max(1);
         let mut roster = HubRoster::new(settings.peers);
         for seed in &settings.seeds {
             roster.note_heard(clock::now(), *seed);
@@ -94,7 +97,7 @@
             budgets: Mutex::new(HashMap::new()),
             allowance: Mutex::new((settings.retry_ratio, settings.retry_slack)),
             shared: Mutex::new(None),
-            live_entries: AtomicUsize::new(known),
+            live_entries: AtomicUsize::new(FIRST_ENTRIES),
             settings,
         }
     }
@@ -253,13 +256,7 @@
             self.roster().note_heard(now, *seed);
         }
         let new = (settings.retry_ratio, settings.retry_slack);
-        let old = std::mem::replace(
-            &mut *self.allowance.lock().expect("no holder of the lock panics"),
-            new,
-        );
-        if old != new {
-            self.budgets.lock().expect("no holder of the lock panics").clear();
-        }
+        *self.allowance.lock().expect("no holder of the lock panics") = new;
     }
 
     /// Sets the number of entries that share the retry budget.
@@ -278,15 +275,23 @@
     }
 
     fn with_budget<T>(&self, service: &str, decide: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let (share, reserve) = self.budget_limits();
         let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
-        let budget = budgets.entry(service.into()).or_insert_with(|| {
-            let entries = self.live_entries.load(Ordering::Relaxed) as f64;
-            let (ratio, slack) = *self.allowance.lock().expect("no holder of the lock panics");
-            RetryBudget::with_limits(ratio * BUDGET_SHARE, slack * BUDGET_SHARE / entries)
-        });
+        let budget = budgets
+            .entry(service.into())
+            .or_insert_with(|| RetryBudget::with_limits(share, reserve));
+        // The number of entries may have changed.
+        budget.set_limits(share, reserve);
         decide(budget)
     }
 
+    /// Returns the retries that each request earns, and this entry's part of the reserve.
+    fn budget_limits(&self) -> (f64, f64) {
+        let entries = self.live_entries.load(Ordering::Relaxed) as f64;
+        let (ratio, slack) = *self.allowance.lock().expect("no holder of the lock panics");
+        (ratio * BUDGET_SHARE, slack * BUDGET_SHARE / entries)
+    }
+
     /// Notes that an endpoint failed a request, or could not be reached.
     pub(crate) fn note_failure(&self, now: TimePoint, endpoint: EndpointKey, name: &str) {
         log::info!(target: part::REQUEST, endpoint = name; "endpoint rests after a failure");
--- a/crates/kernel/src/retry/budget.rs
+++ b/crates/kernel/src/retry/budget.rs
@@ -28,6 +28,13 @@
         RetryBudget { share, reserve, balance: reserve }
     }
 
+    /// Changes the limits; what is saved up stays, as far as the new reserve goes.
+    pub fn set_limits(&mut self, share: f64, reserve: f64) {
+        self.share = share;
+        self.reserve = reserve;
+        self.balance = self.balance.min(reserve);
+    }
+
     /// Notes the completion of a request.
     pub fn completed(&mut self) {
         self.balance = (self.balance + self.share).min(self.reserve);
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -111,3 +111,16 @@
     }
     assert!(buckets.iter().all(|&count| (60..150).contains(&count)), "{buckets:?}");
 }
+
+#[test]
+fn a_budget_keeps_what_it_saved_within_its_new_limits() {
+    let mut budget = RetryBudget::with_limits(0.5, 10.0);
+    for _ in 0..4 {
+        assert!(budget.pay());
+    }
+    budget.set_limits(0.5, 20.0);
+    assert_eq!(budget.balance(), 6.0, "a greater reserve gives nothing at once");
+    budget.set_limits(0.5, 2.0);
+    assert_eq!(budget.balance(), 2.0);
+    assert!(budget.pay() && budget.pay() && !budget.pay());
+}
