Count an order that took effect until the host list can show it

Cause: an order that the platform has taken is settled at once; settled orders did not count, and the ordered host had not reported yet, so the endpoint looked stopped and was ordered again. Seen as the known red test of the frozen holder; without a freeze, four orders for one endpoint in 12 s. Ruled out: two holders of one fencing number (the log gives an offset to one claim); a late send of the thawed process (it would bear number 0). Before: the new test sees 4 orders.

--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -30,7 +30,8 @@
     control::{
         ControlIdentity, ControlLinks, PeerTable, PeerWants,
         config_state::{self, ConfigState},
-        fleet, status,
+        fleet::{self, FleetNews},
+        status,
     },
     entry::news::RouterNews,
     logs::part,
@@ -196,21 +197,23 @@
 
     /// Returns an endpoint that offers `model` in a failure domain and is stopped.
     pub(crate) fn stopped_endpoint(&self, model: &str, domain: &str) -> Option<Box<str>> {
-        let orders = self.links.keeper.open_orders();
-        fleet::stopped_endpoint(&self.catalog(), &self.fleet_digests(), &orders, model, domain)
+        fleet::stopped_endpoint(&self.catalog(), &self.fleet_news(), model, domain)
     }
 
     /// Returns the state of all endpoints and the demand for all models.
     pub(crate) fn fleet_status(&self) -> FleetStatus {
-        let orders = self.links.keeper.open_orders();
-        fleet::status(&self.catalog(), &self.fleet_digests(), &orders)
+        fleet::status(&self.catalog(), &self.fleet_news())
     }
 
-    /// Returns the digests of all endpoints heard of lately.
-    fn fleet_digests(&self) -> Vec<EndpointDigest> {
+    fn fleet_news(&self) -> FleetNews {
+        let orders = self.links.keeper.orders_in_effect();
         let parts = self.lock();
-        let now = self.clock.now();
-        parts.peers.alive(now).flat_map(|report| report.endpoints.iter().cloned()).collect()
+        let reports = parts.peers.alive(self.clock.now());
+        FleetNews {
+            digests: reports.flat_map(|report| report.endpoints.iter().cloned()).collect(),
+            orders,
+            hosts: parts.host_list.as_ref().map(|(_, list)| list.clone()).unwrap_or_default(),
+        }
     }
 
     /// Waits until something happened that peers should hear of at once.
--- a/crates/daemon/src/control/fleet.rs
+++ b/crates/daemon/src/control/fleet.rs
@@ -9,47 +9,58 @@
     route::EndpointDigest,
     scale::{EndpointPhase, EndpointStatus, FleetStatus, ModelDemand},
 };
+use pimentorock_platform::wire::{HostEntry, HostList, HostState};
 
-/// Returns where each engine stands; an open order counts as carried out.
+/// What a process has heard of endpoints.
+#[derive(Debug)]
+pub(crate) struct FleetNews {
+    /// What their agents told lately.
+    pub(crate) digests: Vec<EndpointDigest>,
+    /// Orders whose effect the host list may not show yet, the newest last.
+    pub(crate) orders: Vec<OrderIntent>,
+    /// The last host list.
+    pub(crate) hosts: HostList,
+}
+
+/// Returns where each engine stands; an order counts as carried out until the host list tells.
 ///
 /// Plain services are not started or stopped.
-fn phases(
-    catalog: &ServiceCatalog,
-    digests: &[EndpointDigest],
-    orders: &[OrderIntent],
-) -> HashMap<EndpointKey, EndpointPhase> {
+fn phases(catalog: &ServiceCatalog, news: &FleetNews) -> HashMap<EndpointKey, EndpointPhase> {
     let engines =
         catalog.live_endpoints().filter(|&key| catalog.endpoints[key].kind == EndpointKind::Engine);
     engines
         .map(|key| {
             let name = &catalog.endpoints[key].name;
-            let digest = digests.iter().find(|digest| digest.endpoint == *name);
-            let order = orders.iter().find(|order| order.endpoint == *name);
-            (key, phase(digest, order))
+            let digest = news.digests.iter().find(|digest| digest.endpoint == *name);
+            let order = news.orders.iter().rfind(|order| order.endpoint == *name);
+            let host = news.hosts.hosts.iter().find(|host| host.host == *name);
+            (key, phase(digest, order, host))
         })
         .collect()
 }
 
 /// An endpoint that drains for a restart or by an operator's wish is not one to be stopped.
-fn phase(digest: Option<&EndpointDigest>, order: Option<&OrderIntent>) -> EndpointPhase {
+fn phase(
+    digest: Option<&EndpointDigest>,
+    order: Option<&OrderIntent>,
+    host: Option<&HostEntry>,
+) -> EndpointPhase {
     let up = digest.filter(|digest| digest.up);
+    let starting = host.is_some_and(|host| host.state == HostState::Starting);
     match (order.map(|order| order.verb), up) {
         (Some(OrderVerb::Stop), _) => EndpointPhase::Stopped,
         (_, Some(digest)) if digest.retiring => EndpointPhase::Draining,
         (_, Some(_)) => EndpointPhase::Live,
         (Some(OrderVerb::Start), None) => EndpointPhase::Starting,
+        (None, None) if starting => EndpointPhase::Starting,
         (None, None) => EndpointPhase::Stopped,
     }
 }
 
 /// Returns the state of all engines and the demand for all models.
-pub(crate) fn status(
-    catalog: &ServiceCatalog,
-    digests: &[EndpointDigest],
-    orders: &[OrderIntent],
-) -> FleetStatus {
-    let mut phases: Vec<(EndpointKey, EndpointPhase)> =
-        phases(catalog, digests, orders).into_iter().collect();
+pub(crate) fn status(catalog: &ServiceCatalog, news: &FleetNews) -> FleetStatus {
+    let digests = &news.digests;
+    let mut phases: Vec<(EndpointKey, EndpointPhase)> = phases(catalog, news).into_iter().collect();
     phases.sort_unstable_by_key(|(key, _)| *key);
     let endpoints = phases.iter().map(|&(endpoint, phase)| {
         let name = &catalog.endpoints[endpoint].name;
@@ -62,12 +73,11 @@
 /// Returns the first endpoint by name that offers `model` in a failure domain and is stopped.
 pub(crate) fn stopped_endpoint(
     catalog: &ServiceCatalog,
-    digests: &[EndpointDigest],
-    orders: &[OrderIntent],
+    news: &FleetNews,
     model: &str,
     domain: &str,
 ) -> Option<Box<str>> {
-    let phases = phases(catalog, digests, orders);
+    let phases = phases(catalog, news);
     let stopped = catalog
         .endpoints_of(model)
         .filter(|key| phases.get(key) == Some(&EndpointPhase::Stopped))
--- a/crates/daemon/src/state/keeper.rs
+++ b/crates/daemon/src/state/keeper.rs
@@ -265,9 +265,9 @@
         self.lock().orders.next_actions(self.clock.now(), fencing)
     }
 
-    /// Returns the orders that are not settled.
-    pub(crate) fn open_orders(&self) -> Vec<OrderIntent> {
-        self.lock().orders.open().cloned().collect()
+    /// Returns the orders whose effect the host list may not show yet, the newest last.
+    pub(crate) fn orders_in_effect(&self) -> Vec<OrderIntent> {
+        self.lock().orders.in_effect(self.clock.now())
     }
 
     /// Checks the lease right before an order is written, and notes that it is.
--- a/crates/daemon/tests/failures/orders.rs
+++ b/crates/daemon/tests/failures/orders.rs
@@ -64,6 +64,29 @@
     assert_eq!(orders.len(), 1, "{orders:?}");
 }
 
+/// Records of the holder's renewals that span several looks at the fleet.
+const RENEWALS_AFTER_ORDER: usize = 5;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_takes_long_to_start_is_ordered_once() {
+    let mut stack = Stack::start(plan()).await;
+    wait_for_holder(&stack).await;
+    stack.engines[0].kill();
+    let log = stack.state_log();
+    stack
+        .wait_for("the holder looked at the fleet again after the order", async || {
+            let answer = log.read(0, Duration::ZERO).await.expect("the log answers");
+            let records = answer.entries.iter().map(|entry| &entry.record);
+            let later = records.skip_while(|record| !record.contains("order-settled"));
+            let renewals = later.filter(|record| record.contains("lease-renewal")).count();
+            renewals >= RENEWALS_AFTER_ORDER
+        })
+        .await;
+    let orders = orders(&stack).await;
+    assert_fenced(&orders);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_holder_sends_nothing_after_another_took_over() {
     let mut stack = Stack::start(StackPlan { service: true, ..plan() }).await;
--- a/crates/kernel/src/control/order_book.rs
+++ b/crates/kernel/src/control/order_book.rs
@@ -108,12 +108,21 @@
     tenure: Option<FencingNumber>,
     open: BTreeMap<Box<str>, OpenOrder>,
     settled: VecDeque<Box<str>>,
+    /// Orders that took effect, by the time at which that was read, oldest first.
+    recent: VecDeque<(TimePoint, OrderIntent)>,
 }
 
 impl OrderBook {
     /// Returns a book without orders.
     pub fn new(process: ProcessId, limits: OrderLimits) -> OrderBook {
-        OrderBook { process, limits, tenure: None, open: BTreeMap::new(), settled: VecDeque::new() }
+        OrderBook {
+            process,
+            limits,
+            tenure: None,
+            open: BTreeMap::new(),
+            settled: VecDeque::new(),
+            recent: VecDeque::new(),
+        }
     }
 
     /// Returns the intents of all open orders, by identifier.
@@ -121,6 +130,14 @@
         self.open.values().map(|order| &order.intent)
     }
 
+    /// Returns the intents whose effect the host list may not show yet: those of orders that took
+    /// effect within [`OrderLimits::list_lag`], oldest first, then those of all open orders.
+    pub fn in_effect(&self, now: TimePoint) -> Vec<OrderIntent> {
+        let lag = self.limits.list_lag;
+        let recent = self.recent.iter().filter(|(at, _)| now.since(*at) < lag);
+        recent.map(|(_, intent)| intent).chain(self.open()).cloned().collect()
+    }
+
     /// Returns the identifiers of settled orders that are remembered, oldest first.
     pub fn settled(&self) -> impl Iterator<Item = &str> + '_ {
         self.settled.iter().map(|id| &**id)
@@ -144,7 +161,7 @@
     pub fn apply(&mut self, now: TimePoint, record: &StateRecord, fencing: Option<FencingNumber>) {
         match record {
             StateRecord::OrderIntent(intent) => self.record_intent(now, intent, fencing),
-            StateRecord::OrderSettled(settled) => self.record_outcome(&settled.id),
+            StateRecord::OrderSettled(settled) => self.record_outcome(now, settled),
             _ => {}
         }
     }
@@ -225,11 +242,14 @@
         self.open.insert(intent.id.clone(), order);
     }
 
-    fn record_outcome(&mut self, id: &str) {
-        if self.open.remove(id).is_none() {
-            return;
+    fn record_outcome(&mut self, now: TimePoint, settled: &OrderSettled) {
+        let Some(order) = self.open.remove(&settled.id) else { return };
+        if settled.outcome == OrderOutcome::Done {
+            let lag = self.limits.list_lag;
+            self.recent.retain(|(at, _)| now.since(*at) < lag);
+            self.recent.push_back((now, order.intent));
         }
-        self.settled.push_back(id.into());
+        self.settled.push_back(settled.id.clone());
         if self.settled.len() > REMEMBERED_ORDERS {
             self.settled.pop_front();
         }
--- a/crates/kernel/tests/control_order.rs
+++ b/crates/kernel/tests/control_order.rs
@@ -8,7 +8,7 @@
 use pimentorock_kernel::{
     control::{HostSighting, OrderAction, OrderBook, OrderLimits, OrderReply},
     ids::{FencingNumber, ProcessId},
-    record::{OrderIntent, OrderOutcome, OrderVerb, StateRecord},
+    record::{OrderIntent, OrderOutcome, OrderSettled, OrderVerb, StateRecord},
     time::TimePoint,
 };
 
@@ -159,3 +159,29 @@
         matches!(&actions[..], [OrderAction::Settle(settled)] if settled.outcome == OrderOutcome::Done)
     );
 }
+
+#[test]
+fn an_order_counts_until_the_host_list_can_show_its_effect() {
+    let now = TimePoint::from_millis(1_000);
+    let limits = OrderLimits { list_lag: LAG, ..OrderLimits::default() };
+    let mut book = OrderBook::new(process(1), limits);
+    let fencing = FencingNumber(1);
+    let mut settle = |id: &str, outcome| {
+        let intent = OrderIntent {
+            id: id.into(),
+            sender: process(1),
+            fencing,
+            verb: OrderVerb::Start,
+            endpoint: "g1".into(),
+            domain: "d1".into(),
+        };
+        book.apply(now, &StateRecord::OrderIntent(intent), Some(fencing));
+        let settled = OrderSettled { id: id.into(), outcome };
+        book.apply(now, &StateRecord::OrderSettled(settled), Some(fencing));
+    };
+    settle("done", OrderOutcome::Done);
+    settle("failed", OrderOutcome::Failed);
+    let ids = |at| book.in_effect(at).into_iter().map(|intent| intent.id).collect::<Vec<_>>();
+    assert_eq!(ids(now + LAG / 2), ["done".into()]);
+    assert!(ids(now + LAG).is_empty());
+}
