--- a/crates/daemon/src/entry/dispatcher.rs
+++ b/crates/daemon/src/entry/dispatcher.rs
@@ -231,6 +231,7 @@
     fn next_step(&mut self, end: AttemptEnd, target: &AttemptTarget) -> NextStep {
         self.note(format_args!("attempt {} ended: {}", self.sends, end_text(&end)));
         let outcome = run_outcome(&end);
+        let reached = !matches!(end, AttemptEnd::Unreachable);
         self.may_have_run |= matches!(outcome, RunOutcome::Lost);
         let error = match end {
             AttemptEnd::Completed => {
@@ -277,7 +278,9 @@
             idempotent: self.request.idempotent,
             retry_failures: false,
             answer_begun: self.caller.has_begun(),
+            reached,
             attempts: self.attempts,
+            unreached: 0,
             time_left: self.spec.time_left(self.state.parts.clock.now()),
             needed: Duration::ZERO,
         };
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -144,6 +144,8 @@
 #[derive(Debug)]
 enum SendEnd {
     Answered(Box<EndpointAnswer>),
+    /// Nothing of the request reached the endpoint.
+    Unreached(Box<str>),
     NotRun(Box<str>),
     Lost(Box<str>),
     DeadlinePassed,
@@ -157,6 +159,8 @@
     excluded: Vec<EndpointKey>,
     /// Sends so far.
     sends: u32,
+    /// Sends that reached no endpoint.
+    unreached: u32,
     /// Sends that may have run.
     runs: u32,
     /// What the last send that failed came to.
@@ -191,6 +195,7 @@
             request: Arc::new(request),
             excluded: Vec::new(),
             sends: 0,
+            unreached: 0,
             runs: 0,
             last_failure: None,
             ended: false,
@@ -222,25 +227,26 @@
         loop {
             let choice = self.choose()?;
             let end = self.send(&choice, last_event).await;
-            let outcome = match end {
+            let reached = !matches!(end, SendEnd::Unreached(_));
+            let (outcome, reason) = match end {
                 SendEnd::Answered(answer) => return Ok(*answer),
                 SendEnd::DeadlinePassed => {
                     self.runs += 1;
                     return Err(self.given_up("the deadline passed at an endpoint".into()));
                 }
-                SendEnd::NotRun(reason) => {
-                    self.note_failure(&choice, RunOutcome::NotRun, &reason);
-                    self.last_failure = Some(reason);
-                    RunOutcome::NotRun
+                SendEnd::Unreached(reason) => {
+                    self.unreached += 1;
+                    (RunOutcome::NotRun, reason)
                 }
+                SendEnd::NotRun(reason) => (RunOutcome::NotRun, reason),
                 SendEnd::Lost(reason) => {
                     self.runs += 1;
-                    self.note_failure(&choice, RunOutcome::Lost, &reason);
-                    self.last_failure = Some(reason);
-                    RunOutcome::Lost
+                    (RunOutcome::Lost, reason)
                 }
             };
-            self.pause_before_next(outcome).await?;
+            self.note_failure(&choice, outcome, &reason);
+            self.last_failure = Some(reason);
+            self.pause_before_next(outcome, reached).await?;
         }
     }
 
@@ -255,7 +261,7 @@
         self.state.note_failure(clock::now(), endpoint, &work.endpoint);
         self.excluded.push(endpoint);
         self.last_failure = Some(reason.into());
-        self.pause_before_next(RunOutcome::Lost).await
+        self.pause_before_next(RunOutcome::Lost, true).await
     }
 
     /// Notes that the endpoint itself answered with a failure, and asks for leave to send again.
@@ -271,18 +277,26 @@
         self.runs += 1;
         self.excluded.push(work.ticket.endpoint);
         self.last_failure = Some(format!("the endpoint answered {status}").into());
-        self.pause_before_next(RunOutcome::Failed).await
+        self.pause_before_next(RunOutcome::Failed, true).await
     }
 
     /// Decides whether the request is sent again, and waits as long as that decision says.
-    async fn pause_before_next(&mut self, outcome: RunOutcome) -> Result<(), GiveUp> {
+    ///
+    /// `reached` tells whether anything of the last send may have reached an endpoint.
+    async fn pause_before_next(
+        &mut self,
+        outcome: RunOutcome,
+        reached: bool,
+    ) -> Result<(), GiveUp> {
         let request = Arc::clone(&self.request);
         let case = RetryCase {
             outcome,
             idempotent: request.route.is_idempotent() && self.runs < request.route.max_runs,
             retry_failures: request.route.kind == RouteKind::Idempotent,
             answer_begun: false,
-            attempts: self.sends.max(1),
+            reached,
+            attempts: self.sends - self.unreached,
+            unreached: self.unreached,
             time_left: request.time_left(),
             needed: LEAST_SEND_TIME,
         };
@@ -344,11 +358,11 @@
     }
 
     async fn send(&mut self, choice: &PlaceChoice, last_event: Option<&str>) -> SendEnd {
+        self.sends += 1;
         let address = match self.state.book().entry(&choice.name) {
             Some(entry) => entry.address,
-            None => return SendEnd::NotRun("the endpoint has just left".into()),
+            None => return SendEnd::Unreached("the endpoint has just left".into()),
         };
-        self.sends += 1;
         self.note_choice(choice);
         let now = clock::now();
         let ticket = self.state.table().sent(now, choice.endpoint, &self.request.placed);
@@ -358,16 +372,16 @@
         let mut link = match self.state.pool.take(&choice.name, address).await {
             Ok(link) => link,
             Err(error) => {
-                self.state.metrics.note_send("unreachable", repeat);
+                self.state.metrics.note_send("unreached", repeat);
                 self.state.note_failure(clock::now(), choice.endpoint, &choice.name);
-                return SendEnd::NotRun(error.to_string().into());
+                return SendEnd::Unreached(error.to_string().into());
             }
         };
         let request = self.forwarded(choice, last_event);
         let answer = tokio::time::timeout(self.request.time_left(), link.send(request)).await;
         let end = match answer {
             Err(_) => SendEnd::DeadlinePassed,
-            Ok(Err(error)) if error.is_unsent() => SendEnd::NotRun(error.to_string().into()),
+            Ok(Err(error)) if error.is_unsent() => SendEnd::Unreached(error.to_string().into()),
             Ok(Err(error)) => {
                 self.state.note_failure(clock::now(), choice.endpoint, &choice.name);
                 SendEnd::Lost(error.to_string().into())
@@ -397,7 +411,9 @@
         }
         if said.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             if head.status == StatusCode::MISDIRECTED_REQUEST {
+                // Another endpoint answers there; this one is no longer at its address.
                 self.state.note_failure(now, choice.endpoint, &choice.name);
+                self.state.table().lapse(&choice.name);
             }
             return SendEnd::NotRun(format!("turned away with status {}", head.status).into());
         }
@@ -431,6 +447,7 @@
 fn end_name(end: &SendEnd) -> &'static str {
     match end {
         SendEnd::Answered(_) => "answered",
+        SendEnd::Unreached(_) => "unreached",
         SendEnd::NotRun(_) => "not_run",
         SendEnd::Lost(_) => "lost",
         SendEnd::DeadlinePassed => "deadline_passed",
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use pimentorock_kernel::{
-    duty::{DutyHolder, DutyRecord, WindowBook},
-    hub::HubChoice,
+    duty::{DutyHolder, DutyLimits, DutyRecord, WindowBook},
+    hub::{EntrySighting, HubChoice},
     time::TimePoint,
 };
 use tokio::time::sleep;
@@ -28,9 +28,6 @@
 /// Time between looks at the duty.
 const DUTY_PERIOD: Duration = Duration::from_millis(500);
 
-/// Age up to which a share shows that its entry is there.
-const NEW_SHARE: Duration = Duration::from_secs(6);
-
 /// Time between looks of an entry that is not the hub, and that may have to take over.
 const STANDBY_PERIOD: Duration = Duration::from_secs(2);
 
@@ -38,10 +35,20 @@
 const DUTY_KEY: &str = "usage";
 
 impl GatewayState {
+    /// Returns what this entry and those that ask it counted, as far as it is due to be shared.
+    pub(crate) fn due_shares(&self) -> Vec<EntryShare> {
+        let own = self.due_share();
+        let view = self.view();
+        let askers = view.shares.iter().filter(|(key, share)| {
+            view.passed_on.get(*key).is_none_or(|until_ms| *until_ms < share.usage.until_ms)
+        });
+        askers.map(|(_, share)| share.clone()).chain(own).collect()
+    }
+
     /// Returns what this entry counted, if that is due to be shared.
     ///
     /// It is due when counts changed some time ago, and right behind the end of a window.
-    pub(crate) fn due_share(&self) -> Option<EntryShare> {
+    fn due_share(&self) -> Option<EntryShare> {
         let now = clock::now();
         let wall_ms = self.wall_ms();
         let window = self.window_ms();
@@ -54,9 +61,16 @@
         due.then_some(EntryShare { peer: self.settings.peers, usage })
     }
 
-    /// Notes that the hub, or the store, has what this entry counted.
-    pub(crate) fn note_shared(&self, share: EntryShare) {
-        *self.shared() = Some((clock::now(), share.usage));
+    /// Notes that the hub, or the store, has these counts.
+    pub(crate) fn note_shared(&self, shares: Vec<EntryShare>) {
+        for share in shares {
+            if share.usage.process == self.process {
+                *self.shared() = Some((clock::now(), share.usage));
+            } else {
+                let key = share.usage.process.to_string().into();
+                self.view().passed_on.insert(key, share.usage.until_ms);
+            }
+        }
     }
 
     fn window_ms(&self) -> u64 {
@@ -64,8 +78,8 @@
     }
 }
 
-/// Writes what this entry and those that ask it counted to the store, until `stop` is cancelled
-/// and once more then.
+/// Writes what this entry and those that ask it counted to the store, as the hub of all until
+/// `stop` is cancelled, and in any case once more then.
 pub(crate) async fn share(state: Arc<GatewayState>, stop: CancellationToken) {
     let mut written: HashMap<Box<str>, EntryShare> = HashMap::new();
     let mut stopping = false;
@@ -74,33 +88,40 @@
             () = stop.cancelled() => stopping = true,
             () = sleep(SHARE_PERIOD) => {}
         }
-        if let Some(share) = own_share(&state, stopping) {
-            let key = share.usage.process.to_string().into();
-            state.view().shares.insert(key, share);
-        }
         let shares = recent_shares(&state);
+        let is_hub = state.roster().hub(clock::now()) == HubChoice::Own;
+        if !is_hub && !stopping {
+            continue;
+        }
+        let own = state.due_share();
+        let shares = with_own(shares, own.clone(), &written, &state);
         if shares != written && !shares.is_empty() && write_shares(&state, &shares).await {
+            state.note_shared(own.into_iter().collect());
             written = shares;
         }
     }
 }
 
-/// Returns this entry's share if no hub takes it.
-fn own_share(state: &GatewayState, stopping: bool) -> Option<EntryShare> {
-    let takes_itself = state.roster().hub(clock::now()) == HubChoice::Own;
-    if !takes_itself && !stopping {
-        return None;
+/// Adds this entry's own share to those of its askers: a new one, or the one written last.
+fn with_own(
+    mut shares: HashMap<Box<str>, EntryShare>,
+    own: Option<EntryShare>,
+    written: &HashMap<Box<str>, EntryShare>,
+    state: &GatewayState,
+) -> HashMap<Box<str>, EntryShare> {
+    let key: Box<str> = state.process.to_string().into();
+    if let Some(own) = own.or_else(|| written.get(&key).cloned()) {
+        shares.insert(key, own);
     }
-    let share = state.due_share()?;
-    state.note_shared(share.clone());
-    Some(share)
+    shares
 }
 
-/// Returns the shares that may still matter, and forgets the others.
+/// Returns the askers' shares that may still matter, and forgets the others.
 fn recent_shares(state: &GatewayState) -> HashMap<Box<str>, EntryShare> {
     let oldest = state.wall_ms().saturating_sub(SHARE_LIFE.as_millis() as u64);
     let mut view = state.view();
     view.shares.retain(|_, share| share.usage.until_ms >= oldest);
+    view.passed_on.retain(|_, until_ms| *until_ms >= oldest);
     view.shares.clone()
 }
 
@@ -147,10 +168,10 @@
 
 impl DutyTask {
     fn new(state: Arc<GatewayState>) -> DutyTask {
-        let window_ms = state.settings.usage_window.as_millis() as u64;
+        let limits = DutyLimits::new(state.settings.usage_lease, state.settings.usage_due);
         DutyTask {
-            holder: DutyHolder::new(clock::now(), state.process.clone()),
-            book: WindowBook::new(window_ms),
+            holder: DutyHolder::new(clock::now(), state.process.clone(), limits),
+            book: WindowBook::new(state.window_ms(), limits),
             opened: false,
             read_shares: TimePoint::ZERO,
             state,
@@ -248,10 +269,10 @@
 
     /// Notes an entry that shared lately, so that one that has just started finds its hub.
     fn note_peer(&self, now: TimePoint, share: &EntryShare) {
-        let age = self.state.wall_ms().saturating_sub(share.usage.until_ms);
-        if age < NEW_SHARE.as_millis() as u64 {
-            self.state.roster().note_heard(now, share.peer);
-        }
+        let age_ms = self.state.wall_ms().saturating_sub(share.usage.until_ms);
+        let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
+        let sighting = EntrySighting { address: share.peer, domain: None, age_ms };
+        self.state.roster().note_sighting(now, &sighting);
     }
 
     /// Closes the windows that may be closed, or claims what a lost holder left.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,11 +1,8 @@
 //! Follows the configuration and the endpoints, in the store or through the hub.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use pimentorock_kernel::{
-    hub::{HubChoice, MAX_STORE_AGE, exchange_period},
-    time::TimePoint,
-};
+use pimentorock_kernel::{hub::HubChoice, time::TimePoint};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -32,8 +29,8 @@
 /// Time between two calls of a hub to another entry, by which it makes itself known.
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
 
-/// Time after the start by which an entry has heard of all others.
-const SETTLE_SPAN: Duration = Duration::from_secs(3);
+/// Time between two lists of other entries; they are forgotten after a few.
+const TELL_PERIOD: Duration = Duration::from_secs(1);
 
 /// Time between questions to other entries while neither hub nor store tells anything.
 const SEEK_PERIOD: Duration = Duration::from_millis(500);
@@ -179,26 +176,29 @@
     }
 }
 
-/// Exchanges news with the hub, or as the hub with others, until `stop` is cancelled.
+/// Exchanges news with the hub, and as the hub of all with others, until `stop` is cancelled.
 pub(crate) async fn exchange(state: Arc<GatewayState>, stop: CancellationToken) {
     let mut clients = PeerClients::default();
-    let started = clock::now();
     let mut sought = TimePoint::ZERO;
+    let mut told = None;
     let mut turn = 0;
     while !stop.is_cancelled() {
         let now = clock::now();
-        let (hub, entries, stale) = {
+        let (hub, exchange_period, stale) = {
             let view = state.view();
-            let stale = now.since(view.current()) > MAX_STORE_AGE;
-            (view.roster.hub(now), view.roster.entries(now).len(), stale)
+            (view.roster.hub(now), view.roster.period(now), view.is_stale(now))
         };
-        if now.since(started) >= SETTLE_SPAN {
-            state.set_live_entries(entries);
-        }
-        if let HubChoice::Peer(address) = hub {
-            ask(&state, &mut clients, address, true).await;
-        } else {
-            state.note_own_board();
+        match hub {
+            HubChoice::Peer(address) => {
+                let wants_entries = told.is_none_or(|at| now.since(at) >= TELL_PERIOD);
+                if ask_hub(&state, &mut clients, address, wants_entries).await && wants_entries {
+                    told = Some(now);
+                }
+            }
+            HubChoice::Own => {
+                state.note_board();
+                state.note_clocks();
+            }
         }
         let period = if stale { SEEK_PERIOD } else { ANNOUNCE_PERIOD };
         if (hub == HubChoice::Own || stale) && now.since(sought) >= period {
@@ -206,29 +206,36 @@
             turn += 1;
             let other = state.view().roster.other(now, turn);
             if let Some(address) = other {
-                ask(&state, &mut clients, address, false).await;
+                greet(&state, &mut clients, address).await;
             }
         }
         tokio::select! {
             () = stop.cancelled() => return,
-            () = sleep(exchange_period(entries)) => {}
+            () = sleep(exchange_period) => {}
         }
     }
 }
 
-async fn ask(
+/// Tells the hub of this entry's group and takes its news; returns whether it answered.
+async fn ask_hub(
     state: &GatewayState,
     clients: &mut PeerClients,
-    address: std::net::SocketAddr,
-    is_hub: bool,
-) {
+    address: SocketAddr,
+    wants_entries: bool,
+) -> bool {
     let asked = clock::now();
-    let share = if is_hub { state.due_share() } else { None };
-    let shared = share.clone();
-    if let Some(news) = clients.exchange(state, address, state.report(share)).await {
-        state.take_news(asked, news, is_hub);
-        if let Some(share) = shared {
-            state.note_shared(share);
-        }
+    let shares = state.due_shares();
+    let report = state.report(shares.clone(), wants_entries);
+    let Some(news) = clients.exchange(state, address, report).await else { return false };
+    state.take_news(asked, news, true);
+    state.note_shared(shares);
+    true
+}
+
+/// Makes this entry known to another one, and takes what that one knows.
+async fn greet(state: &GatewayState, clients: &mut PeerClients, address: SocketAddr) {
+    let asked = clock::now();
+    if let Some(news) = clients.exchange(state, address, state.greeting(true)).await {
+        state.take_news(asked, news, false);
     }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,7 +3,11 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::StreamExt;
-use pimentorock_kernel::{duty::UsageShare, ids::ProcessId, place::LoadRow};
+use pimentorock_kernel::{
+    duty::UsageShare,
+    hub::{EntrySighting, GroupLoad},
+    ids::ProcessId,
+};
 use serde::{Deserialize, Serialize};
 use tarpc::{
     client, context, serde_transport,
@@ -58,16 +62,29 @@
     pub(crate) process: ProcessId,
     /// Where peers reach it.
     pub(crate) peer: SocketAddr,
+    /// Its failure domain.
+    pub(crate) domain: Box<str>,
+    /// What it tells its hub; `None` if it only makes itself known or looks for news.
+    pub(crate) group: Option<GroupReport>,
     /// Offset of the configuration in force there.
     pub(crate) config_offset: Option<u64>,
     /// Offset of the next record of an endpoint; `None` before the first.
     pub(crate) endpoints_next: Option<u64>,
-    /// What it has at endpoints.
-    pub(crate) loads: Vec<LoadRow>,
-    /// Its wall clock, in milliseconds since 1970.
+    /// Wall clock of most entries of its group, in milliseconds since 1970.
     pub(crate) wall_ms: u64,
-    /// What it counted, if that is to be shared.
-    pub(crate) share: Option<EntryShare>,
+    /// Whether it wants to be told of other entries.
+    pub(crate) wants_entries: bool,
+    /// Entries that the other one may not know, if it wants to be told in turn.
+    pub(crate) entries: Vec<EntrySighting>,
+}
+
+/// What an entry tells its hub of itself and of the entries that ask it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct GroupReport {
+    /// What they have at endpoints.
+    pub(crate) load: GroupLoad,
+    /// What they counted, as far as it is to be shared.
+    pub(crate) shares: Vec<EntryShare>,
 }
 
 /// What the other entry answers.
@@ -81,14 +98,14 @@
     pub(crate) endpoints: Vec<PeerRecord>,
     /// Offset of the next record of an endpoint.
     pub(crate) endpoints_next: Option<u64>,
-    /// What all entries but the asking one have at endpoints.
-    pub(crate) loads: Vec<LoadRow>,
+    /// What all entries outside the asking one's group have at endpoints.
+    pub(crate) load: GroupLoad,
     /// Endpoints that strict classes get, by service.
     pub(crate) strict_counts: Vec<(Box<str>, u32)>,
     /// What most wall clocks show, in milliseconds since 1970.
     pub(crate) wall_ms: u64,
-    /// Where entries are reached.
-    pub(crate) entries: Vec<SocketAddr>,
+    /// Entries that the asking one may not know, if it wanted to be told.
+    pub(crate) entries: Vec<EntrySighting>,
 }
 
 /// Calls between entries.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -65,7 +65,8 @@
     callers: TcpListener,
     ready: TcpListener,
     peers: TcpListener,
-    metrics: TcpListener,
+    /// `None` if the address could not be had: an entry serves without metrics, too.
+    metrics: Option<TcpListener>,
 }
 
 impl GatewaySockets {
@@ -73,14 +74,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if an address cannot be had.
+    /// Fails if an address other than that of the metrics cannot be had.
     pub fn open(settings: &GatewaySettings) -> Result<GatewaySockets, GatewayError> {
         let metrics = SocketAddr::new(settings.ready.ip(), settings.metrics_port);
         Ok(GatewaySockets {
             callers: listen(settings.callers, "callers")?,
             ready: listen(settings.ready, "readiness")?,
             peers: listen(settings.peers, "peers")?,
-            metrics: listen(metrics, "metrics")?,
+            metrics: listen(metrics, "metrics")
+                .inspect_err(|error| {
+                    log::error!(target: part::PROCESS, error = error.to_string(); "no metrics are served");
+                })
+                .ok(),
         })
     }
 
@@ -153,7 +158,9 @@
     connections: &TaskTracker,
 ) {
     tokio::spawn(ready::serve(Arc::clone(state), sockets.ready, stop.clone()));
-    tokio::spawn(ready::serve(Arc::clone(state), sockets.metrics, stop.clone()));
+    if let Some(metrics) = sockets.metrics {
+        tokio::spawn(ready::serve(Arc::clone(state), metrics, stop.clone()));
+    }
     tokio::spawn(peer::serve(Arc::clone(state), sockets.peers, stop.clone()));
     tokio::spawn(callers::serve(
         Arc::clone(state),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,4 +29,6 @@
     pub usage_window: Duration,
     /// Time after a window's end until which its report is due.
     pub usage_due: Duration,
+    /// Time within which two processes may not report by turns.
+    pub usage_lease: Duration,
 }
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 
 use pimentorock_kernel::{
-    hub::{ClockBoard, HubChoice, HubRoster, LoadBoard, MAX_STORE_AGE},
+    hub::{ClockBoard, EntrySighting, HubChoice, HubRoster, LoadBoard, PeakCount},
     time::TimePoint,
 };
 
 use crate::{
     clock,
-    peer::{EntryNews, EntryReport, EntryShare, PeerRecord},
+    peer::{EntryNews, EntryReport, EntryShare, GroupReport, PeerRecord},
     state::GatewayState,
     store::{StoreRecord, StoreTopic},
 };
@@ -30,6 +30,10 @@
     pub(crate) clocks: ClockBoard,
     /// What entries counted that named this one their hub.
     pub(crate) shares: HashMap<Box<str>, EntryShare>,
+    /// Up to when the hub knows what each of them counted, in wall-clock milliseconds.
+    pub(crate) passed_on: HashMap<Box<str>, u64>,
+    /// Entries that share the retry allowance.
+    pub(crate) entry_count: PeakCount,
     config: Option<StoreRecord>,
     endpoints: HashMap<Box<str>, KeptRecord>,
     endpoints_next: Option<u64>,
@@ -46,6 +50,8 @@
             board: LoadBoard::new(),
             clocks: ClockBoard::new(),
             shares: HashMap::new(),
+            passed_on: HashMap::new(),
+            entry_count: PeakCount::new(),
             config: None,
             endpoints: HashMap::new(),
             endpoints_next: None,
@@ -83,7 +89,12 @@
 
     /// Returns whether this entry must read the store itself.
     pub(crate) fn reads_store(&self, now: TimePoint) -> bool {
-        self.roster.hub(now) == HubChoice::Own || now.since(self.current()) > MAX_STORE_AGE
+        self.roster.hub(now) == HubChoice::Own || self.is_stale(now)
+    }
+
+    /// Returns whether what this entry knows of the store is older than its hub should leave it.
+    pub(crate) fn is_stale(&self, now: TimePoint) -> bool {
+        now.since(self.current()) > self.roster.max_store_age(now)
     }
 
     /// Keeps the record of the configuration in force.
@@ -105,6 +116,14 @@
         self.endpoints.insert(record.key.clone(), kept);
     }
 
+    fn note_reporter(&mut self, now: TimePoint, report: &EntryReport) {
+        let (address, domain) = (report.peer, Some(report.domain.clone()));
+        self.roster.note_sighting(now, &EntrySighting { address, domain, age_ms: 0 });
+        for sighting in &report.entries {
+            self.roster.note_sighting(now, sighting);
+        }
+    }
+
     fn endpoints_since(&self, next: Option<u64>) -> Vec<PeerRecord> {
         let news =
             self.endpoints.values().filter(|kept| next.is_none_or(|next| kept.changed >= next));
@@ -113,18 +132,27 @@
 }
 
 impl GatewayState {
-    /// Returns what this entry tells others.
-    pub(crate) fn report(&self, share: Option<EntryShare>) -> EntryReport {
-        let loads = self.table().own_load();
+    /// Returns what this entry tells its hub.
+    pub(crate) fn report(&self, shares: Vec<EntryShare>, wants_entries: bool) -> EntryReport {
+        let own = self.table().own_load();
+        let load = self.view().board.group(clock::now(), &own);
+        EntryReport { group: Some(GroupReport { load, shares }), ..self.greeting(wants_entries) }
+    }
+
+    /// Returns what this entry tells others than its hub.
+    pub(crate) fn greeting(&self, wants_entries: bool) -> EntryReport {
+        let now = clock::now();
         let view = self.view();
         EntryReport {
             process: self.process.clone(),
             peer: self.settings.peers,
+            domain: self.settings.domain.clone(),
+            group: None,
             config_offset: view.config.as_ref().map(|record| record.offset),
             endpoints_next: view.endpoints_next,
-            loads,
-            wall_ms: self.own_wall_ms(),
-            share,
+            wall_ms: self.own_wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
+            wants_entries,
+            entries: if wants_entries { view.roster.told_to(now, "") } else { Vec::new() },
         }
     }
 
@@ -135,14 +163,15 @@
             let table = self.table();
             (table.own_load(), table.strict_counts())
         };
+        let own_wall_ms = self.own_wall_ms();
         let mut view = self.view();
-        view.roster.note_heard(now, report.peer);
-        view.board.take(now, self.process.clone(), own);
-        let loads = view.board.others(now, &report.process);
-        view.clocks.take(now, &report.process, report.wall_ms, self.own_wall_ms());
-        view.board.take(now, report.process, report.loads);
-        if let Some(share) = report.share {
-            view.shares.insert(share.usage.process.to_string().into(), share);
+        view.note_reporter(now, &report);
+        if let Some(group) = report.group {
+            view.clocks.take(now, &report.process, report.wall_ms, own_wall_ms);
+            view.board.take(now, report.process.clone(), group.load);
+            for share in group.shares {
+                view.shares.insert(share.usage.process.to_string().into(), share);
+            }
         }
         let newer =
             |record: &&StoreRecord| report.config_offset.is_none_or(|at| record.offset > at);
@@ -151,10 +180,13 @@
             config: view.config.as_ref().filter(newer).cloned().map(PeerRecord::from),
             endpoints: view.endpoints_since(report.endpoints_next),
             endpoints_next: view.endpoints_next,
-            loads,
+            load: view.board.outside(now, &report.process, &own),
             strict_counts,
-            wall_ms: self.own_wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
-            entries: view.roster.entries(now),
+            wall_ms: self.wall_ms(),
+            entries: match report.wants_entries {
+                true => view.roster.told_to(now, &report.domain),
+                false => Vec::new(),
+            },
         }
     }
 
@@ -169,22 +201,23 @@
         for record in news.endpoints {
             self.take_record(StoreTopic::Endpoints, &record.into(), "peer");
         }
-        if from_hub {
-            let mut table = self.table();
-            table.note_others(now, &news.loads);
-            table.take_strict_counts(now, &news.strict_counts);
-            let skew_ms = news.wall_ms as i64 - self.own_wall_ms() as i64;
-            self.set_clock_skew(skew_ms);
-        }
         let current = asked - std::time::Duration::from_millis(news.store_age_ms);
-        let mut view = self.view();
-        for address in news.entries {
-            view.roster.note_heard(now, address);
+        {
+            let mut view = self.view();
+            for sighting in &news.entries {
+                view.roster.note_sighting(now, sighting);
+            }
+            if let Some(next) = news.endpoints_next {
+                view.advance_endpoints(next);
+            }
+            view.note_current(StoreTopic::Config, current);
+            view.note_current(StoreTopic::Endpoints, current);
         }
-        if let Some(next) = news.endpoints_next {
-            view.advance_endpoints(next);
+        if from_hub {
+            self.view().board.take_beyond(now, news.load);
+            self.table().take_strict_counts(now, &news.strict_counts);
+            self.set_clock_skew(news.wall_ms as i64 - self.own_wall_ms() as i64);
+            self.note_board();
         }
-        view.note_current(StoreTopic::Config, current);
-        view.note_current(StoreTopic::Endpoints, current);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
         Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -35,6 +36,9 @@
 /// many that start together.
 const FIRST_ENTRIES: usize = 16;
 
+/// Time after the start by which an entry has heard of all others.
+const SETTLE_SPAN: Duration = Duration::from_secs(3);
+
 /// Share of the deployment's retry allowance that entries use; the rest covers entries that do
 /// not know of each other yet.
 const BUDGET_SHARE: f64 = 0.7;
@@ -65,9 +69,11 @@
     /// Retries that each request earns, and those of one window, over all entries.
     allowance: Mutex<(f64, f64)>,
     tally: Mutex<UsageTally>,
-    /// What was shared last, and when.
+    /// What of this entry was shared last, and when.
     shared: Mutex<Option<(TimePoint, UsageShare)>>,
-    /// Entries that shared their counts lately, this one among them.
+    /// When the process started.
+    started: TimePoint,
+    /// Entries that share the retry allowance, this one among them.
     live_entries: AtomicUsize,
 }
 
@@ -76,7 +82,7 @@
     pub(crate) fn new(settings: GatewaySettings, codec: WireCodec, store: FleetStore) -> Self {
         let process = ProcessId { name: settings.name.clone(), incarnation: clock::wall_ms() };
         let window_ms = settings.usage_window.as_millis() as u64;
-        let mut roster = HubRoster::new(settings.peers);
+        let mut roster = HubRoster::new(settings.peers, &settings.domain);
         for seed in &settings.seeds {
             roster.note_heard(clock::now(), *seed);
         }
@@ -97,6 +103,7 @@
             budgets: Mutex::new(HashMap::new()),
             allowance: Mutex::new((settings.retry_ratio, settings.retry_slack)),
             shared: Mutex::new(None),
+            started: clock::now(),
             live_entries: AtomicUsize::new(FIRST_ENTRIES),
             settings,
         }
@@ -153,12 +160,20 @@
         }
     }
 
-    /// Adds up the load of all entries, as the hub.
-    pub(crate) fn note_own_board(&self) {
+    /// Takes over the load of all other entries, and their number.
+    pub(crate) fn note_board(&self) {
         let now = clock::now();
-        let loads = self.view().board.others(now, &self.process);
-        self.table().note_others(now, &loads);
-        let skew_ms = self.view().clocks.skew_ms(now);
+        let others = self.view().board.others(now);
+        self.table().note_others(now, &others.rows);
+        if now.since(self.started) >= SETTLE_SPAN {
+            let count = self.view().entry_count.note(now, others.entries + 1);
+            self.live_entries.store(count as usize, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes over the wall clock of most entries, as the hub of all.
+    pub(crate) fn note_clocks(&self) {
+        let skew_ms = self.view().clocks.skew_ms(clock::now());
         self.set_clock_skew(skew_ms);
     }
 
@@ -218,6 +233,9 @@
 
     /// Takes over what became of endpoints.
     pub(crate) fn apply_changes(&self, changes: Vec<BookChange>) {
+        if changes.is_empty() {
+            return;
+        }
         for change in changes {
             match change {
                 BookChange::Put(name, entry) => {
@@ -259,11 +277,6 @@
         *self.allowance.lock().expect("no holder of the lock panics") = new;
     }
 
-    /// Sets the number of entries that share the retry budget.
-    pub(crate) fn set_live_entries(&self, count: usize) {
-        self.live_entries.store(count.max(1), Ordering::Relaxed);
-    }
-
     /// Notes a request for `service`, which earns a part of a retry.
     pub(crate) fn note_request(&self, service: &str) {
         self.with_budget(service, RetryBudget::completed);
--- a/crates/kernel/benches/place.rs
+++ b/crates/kernel/benches/place.rs
@@ -23,32 +23,47 @@
     table
 }
 
+/// Returns a request whose first part others have too.
+fn request(part: u64) -> PlacedRequest {
+    PlacedRequest {
+        service: "engine".into(),
+        prompt_tokens: 11_000,
+        output_tokens: 300,
+        needed_rate: 25.0,
+        strict: false,
+        parts: vec![
+            PromptPart { id: part, tokens: 5_000 },
+            PromptPart { id: part + 1, tokens: 6_000 },
+        ],
+    }
+}
+
+/// All endpoints join at the start of an entry, before the first choice.
+fn join(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("place");
+    for count in [100, 600, 3_000] {
+        group.bench_function(BenchmarkId::new("join", count), |bencher| {
+            bencher
+                .iter(|| table(count).choose(NOW, &request(1), &[]).map(|choice| choice.endpoint));
+        });
+    }
+    group.finish();
+}
+
 fn choice(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("place");
     for count in [10, 100, 600] {
-        let table = table(count);
+        let mut table = table(count);
         let mut part = 0;
         group.bench_function(BenchmarkId::new("choose", count), |bencher| {
             bencher.iter(|| {
                 part += 1;
-                let parts = vec![
-                    PromptPart { id: part, tokens: 5_000 },
-                    PromptPart { id: part + 1, tokens: 6_000 },
-                ];
-                let request = PlacedRequest {
-                    service: "engine".into(),
-                    prompt_tokens: 11_000,
-                    output_tokens: 300,
-                    needed_rate: 25.0,
-                    strict: false,
-                    parts,
-                };
-                table.choose(NOW, &request, &[]).map(|choice| choice.endpoint)
+                table.choose(NOW, &request(part), &[]).map(|choice| choice.endpoint)
             });
         });
     }
     group.finish();
 }
 
-criterion_group!(benches, choice);
+criterion_group!(benches, choice, join);
 criterion_main!(benches);
--- a/crates/kernel/src/duty/holder.rs
+++ b/crates/kernel/src/duty/holder.rs
@@ -3,24 +3,11 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    duty::{ClosedWindow, DutyRecord},
+    duty::{ClosedWindow, DutyLimits, DutyRecord},
     ids::{FencingNumber, ProcessId},
     time::TimePoint,
 };
 
-/// Time after the start of its append for which a process may report.
-pub const ACT_SPAN: Duration = Duration::from_millis(3_000);
-
-/// Time without a record after which another process may take over.
-///
-/// Longer than [`ACT_SPAN`] by more than the time a report may still be on its way, so that
-/// reports of two holders never interleave.
-pub const TAKEOVER_SPAN: Duration = Duration::from_millis(7_500);
-
-/// Time after a record that gave the duty up until another process may take over; so long, in
-/// which one host may act, another one, and the first again, must not pass within a lease.
-pub const RELEASED_SPAN: Duration = Duration::from_millis(3_500);
-
 /// Windows whose figures are kept for reports that are still due.
 const KEPT_WINDOWS: usize = 12;
 
@@ -39,6 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct DutyHolder {
     process: ProcessId,
+    limits: DutyLimits,
     /// Where the log ends as far as it was read.
     end: u64,
     holder: Option<ProcessId>,
@@ -55,9 +43,10 @@
 
 impl DutyHolder {
     /// Returns the part of a process that starts to read the log at `now`.
-    pub fn new(now: TimePoint, process: ProcessId) -> DutyHolder {
+    pub fn new(now: TimePoint, process: ProcessId, limits: DutyLimits) -> DutyHolder {
         DutyHolder {
             process,
+            limits,
             end: 0,
             holder: None,
             fencing: FencingNumber(0),
@@ -126,8 +115,8 @@
     }
 
     fn silent(&self, now: TimePoint) -> bool {
-        let span = if self.released { RELEASED_SPAN } else { TAKEOVER_SPAN };
-        now.since(self.changed) >= span
+        let DutyLimits { released_span, takeover_span, .. } = self.limits;
+        now.since(self.changed) >= if self.released { released_span } else { takeover_span }
     }
 
     /// Returns the record that gives the duty up, if this process holds it.
@@ -150,7 +139,7 @@
         let released = record.released;
         self.read(now, offset, record);
         if !released {
-            self.acts_until = sent + ACT_SPAN;
+            self.acts_until = sent + self.limits.act_span;
         }
     }
 
--- a/crates/kernel/src/duty/mod.rs
+++ b/crates/kernel/src/duty/mod.rs
@@ -6,13 +6,15 @@
 //! counted reaches the holder in [`UsageShare`]s, which a [`WindowBook`] adds up.
 
 mod holder;
+mod limits;
 mod record;
 mod share;
 mod window_book;
 
 pub use self::{
-    holder::{ACT_SPAN, DutyHolder, RELEASED_SPAN, TAKEOVER_SPAN, UsageReport},
+    holder::{DutyHolder, UsageReport},
+    limits::DutyLimits,
     record::{ClosedWindow, DutyRecord},
     share::{UsageShare, UsageTally},
-    window_book::{LATEST_CLOSE, WindowBook},
+    window_book::WindowBook,
 };
--- a/crates/kernel/src/duty/window_book.rs
+++ b/crates/kernel/src/duty/window_book.rs
@@ -6,13 +6,10 @@
 };
 
 use crate::{
-    duty::{ClosedWindow, UsageShare},
+    duty::{ClosedWindow, DutyLimits, UsageShare},
     ids::ProcessId,
 };
 
-/// Time after a window's end until which a process that counted lately is waited for.
-pub const LATEST_CLOSE: Duration = Duration::from_millis(6_500);
-
 /// Least time after a window's end; the clocks of processes differ by less.
 const EARLIEST_CLOSE: Duration = Duration::from_millis(300);
 
@@ -26,13 +23,16 @@
 #[derive(Clone, Debug)]
 pub struct WindowBook {
     window_ms: u64,
+    /// Time after a window's end until which a process that counted lately is waited for.
+    latest_close_ms: u64,
     shares: BTreeMap<ProcessId, UsageShare>,
 }
 
 impl WindowBook {
     /// Returns an empty book for windows of `window_ms` milliseconds.
-    pub fn new(window_ms: u64) -> WindowBook {
-        WindowBook { window_ms: window_ms.max(1), shares: BTreeMap::new() }
+    pub fn new(window_ms: u64, limits: DutyLimits) -> WindowBook {
+        let latest_close_ms = limits.latest_close.as_millis() as u64;
+        WindowBook { window_ms: window_ms.max(1), latest_close_ms, shares: BTreeMap::new() }
     }
 
     /// Takes a share; an older one of the same process changes nothing.
@@ -54,7 +54,7 @@
     /// Returns the windows after `last` that may be closed at `wall_ms`, with their figures.
     ///
     /// A window waits until all processes that shared lately have shared past its end, but not
-    /// for longer than [`LATEST_CLOSE`].
+    /// for longer than [`DutyLimits::latest_close`].
     pub fn closable(&self, wall_ms: u64, last: Option<u64>) -> Vec<ClosedWindow> {
         let current = wall_ms / self.window_ms;
         let oldest = current.saturating_sub(MAX_BACKLOG);
@@ -71,7 +71,7 @@
         if passed < EARLIEST_CLOSE.as_millis() as u64 {
             return false;
         }
-        passed >= LATEST_CLOSE.as_millis() as u64 || self.is_whole(end, wall_ms)
+        passed >= self.latest_close_ms || self.is_whole(end, wall_ms)
     }
 
     /// Returns whether no live process is still to share what it counted before `end`.
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -62,6 +62,31 @@
 }
 
 impl LoadRow {
+    /// Returns the row of an endpoint at which nothing is.
+    pub(crate) fn none(endpoint: u32) -> LoadRow {
+        LoadRow { endpoint, in_flight: 0, prefill: 0, memory: 0 }
+    }
+
+    /// Returns this row with what `other` has at the same endpoint added.
+    pub(crate) fn plus(self, other: &LoadRow) -> LoadRow {
+        LoadRow {
+            endpoint: self.endpoint,
+            in_flight: self.in_flight.saturating_add(other.in_flight),
+            prefill: self.prefill.saturating_add(other.prefill),
+            memory: self.memory.saturating_add(other.memory),
+        }
+    }
+
+    /// Returns this row without what `other` has at the same endpoint.
+    pub(crate) fn minus(self, other: &LoadRow) -> LoadRow {
+        LoadRow {
+            endpoint: self.endpoint,
+            in_flight: self.in_flight.saturating_sub(other.in_flight),
+            prefill: self.prefill.saturating_sub(other.prefill),
+            memory: self.memory.saturating_sub(other.memory),
+        }
+    }
+
     /// Returns the hash that stands for the endpoint named `name`.
     pub fn endpoint_hash(name: &str) -> u32 {
         hash_text(name) as u32
--- a/crates/kernel/src/place/endpoint_book.rs
+++ b/crates/kernel/src/place/endpoint_book.rs
@@ -1,6 +1,10 @@
 //! Which endpoints there are, from what they write to the platform's store.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use crate::time::TimePoint;
 
@@ -53,6 +57,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointBook {
     rows: HashMap<Box<str>, BookRow>,
+    /// Rows with an entry.
+    live: usize,
     contact: Option<TimePoint>,
     outage_end: Option<TimePoint>,
 }
@@ -95,6 +101,8 @@
             entry: if lapsed { before.clone() } else { entry.clone() },
             lapses_at: lapsed.then(|| now + LAPSE_GRACE),
         };
+        self.live += usize::from(row.entry.is_some());
+        self.live -= usize::from(before.is_some());
         self.rows.insert(name.into(), row);
         match entry {
             Some(entry) if before.as_ref() == Some(&entry) && !was_lapsed => None,
@@ -106,9 +114,10 @@
 
     /// Lets lapse what is missing from a whole list that was read up to `end`.
     pub fn keep_listed(&mut self, now: TimePoint, listed: &[&str], end: u64) -> Vec<BookChange> {
+        let listed: HashSet<&str> = listed.iter().copied().collect();
         let mut changes = Vec::new();
         for (name, row) in &mut self.rows {
-            let missing = row.offset < end && !listed.contains(&&**name);
+            let missing = row.offset < end && !listed.contains(&**name);
             if missing && row.entry.is_some() && row.lapses_at.is_none() {
                 row.lapses_at = Some(now + LAPSE_GRACE);
                 changes.push(BookChange::Lapsed(name.clone()));
@@ -124,6 +133,7 @@
             if row.lapses_at.is_some_and(|at| now >= at) {
                 row.lapses_at = None;
                 row.entry = None;
+                self.live -= 1;
                 gone.push(BookChange::Gone(name.clone()));
             }
         }
@@ -137,7 +147,7 @@
 
     /// Returns the number of endpoints.
     pub fn len(&self) -> usize {
-        self.rows.values().filter(|row| row.entry.is_some()).count()
+        self.live
     }
 
     /// Returns whether no endpoint is known.
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -66,9 +66,6 @@
 /// turn out longer need the rest.
 const MEMORY_SHARE: f64 = 0.7;
 
-/// An endpoint to be divided: its key, the hash of its name, and its failure domain.
-type DividedRow = (EndpointKey, u64, Box<str>);
-
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlaceChoice {
@@ -98,8 +95,12 @@
     domain: Box<str>,
     endpoints: SlotMap<EndpointKey, EndpointState>,
     names: HashMap<Box<str>, EndpointKey>,
+    /// Endpoints of each service that take new work, as of the last division.
+    pools: HashMap<Box<str>, Vec<EndpointKey>>,
     divisions: HashMap<Box<str>, EndpointDivision>,
     divided: TimePoint,
+    /// Whether endpoints changed since they were divided.
+    undivided: bool,
     /// Tokens that fit the memory of each service's endpoints.
     memories: HashMap<Box<str>, u64>,
 }
@@ -111,8 +112,10 @@
             domain: domain.into(),
             endpoints: SlotMap::with_key(),
             names: HashMap::new(),
+            pools: HashMap::new(),
             divisions: HashMap::new(),
             divided: TimePoint::ZERO,
+            undivided: false,
             memories: HashMap::new(),
         }
     }
@@ -133,7 +136,7 @@
                 key
             }
         };
-        self.divide();
+        self.undivided = true;
         key
     }
 
@@ -148,7 +151,7 @@
     pub fn remove(&mut self, name: &str) {
         if let Some(key) = self.names.remove(name) {
             self.endpoints.remove(key);
-            self.divide();
+            self.undivided = true;
         }
     }
 
@@ -169,25 +172,26 @@
     ///
     /// Fails with the reason if no endpoint of the service may take it.
     pub fn choose(
-        &self,
+        &mut self,
         now: TimePoint,
         request: &PlacedRequest,
         excluded: &[EndpointKey],
     ) -> Result<PlaceChoice, DecisionReason> {
-        let open: Vec<(EndpointKey, &EndpointState)> = self
-            .endpoints
+        if self.undivided {
+            self.undivided = false;
+            self.divide();
+        }
+        let pool = self.pools.get(&request.service).map_or(&[][..], Vec::as_slice);
+        let open: Vec<(EndpointKey, &EndpointState)> = pool
             .iter()
-            .filter(|(key, state)| {
-                *state.spec.service == *request.service
-                    && !state.spec.leaving
-                    && !excluded.contains(key)
-            })
+            .filter(|key| !excluded.contains(key))
+            .map(|key| (*key, &self.endpoints[*key]))
             .collect();
         if open.is_empty() {
             return Err(DecisionReason::NoEndpoint);
         }
         let calm = is_calm(now, &open);
-        let homes = self.homes(request);
+        let homes = self.homes(request, pool);
         let best = open
             .iter()
             .map(|(key, state)| (*key, *state, self.reread(now, *key, request, &homes)))
@@ -287,7 +291,7 @@
         for service in services {
             self.divisions.entry(service.clone()).or_insert_with(EndpointDivision::new);
         }
-        self.divide();
+        self.undivided = true;
     }
 
     /// Returns how many endpoints of each divided service its strict classes get.
@@ -305,9 +309,7 @@
                 changed |= division.take_count(now, *count as usize);
             }
         }
-        if changed {
-            self.divide();
-        }
+        self.undivided |= changed;
     }
 
     /// Notes work for the division of a model engine's endpoints.
@@ -316,7 +318,7 @@
         division.note(now, request.strict, prompt, request.output_tokens);
         if now.since(self.divided) >= DIVIDE_PERIOD {
             self.divided = now;
-            self.divide();
+            self.undivided = true;
         }
     }
 
@@ -369,8 +371,7 @@
             let endpoint = state.hash as u32;
             let row = rows.binary_search_by_key(&endpoint, |row| row.endpoint);
             let row = row.ok().map(|index| rows[index]);
-            let none = LoadRow { endpoint, in_flight: 0, prefill: 0, memory: 0 };
-            state.others = Some((now, row.unwrap_or(none)));
+            state.others = Some((now, row.unwrap_or(LoadRow::none(endpoint))));
         }
     }
 
@@ -411,16 +412,14 @@
     ///
     /// All entries agree on them without asking each other: they are the two that the part and the
     /// endpoint's name hash highest for.
-    fn homes(&self, request: &PlacedRequest) -> PartHomes {
-        let Some(part) = request.affinity_part() else { return PartHomes::default() };
-        let like = self.endpoints.iter().filter(|(_, state)| {
-            *state.spec.service == *request.service
-                && !state.spec.leaving
-                && state.strict == request.strict
-        });
+    fn homes(&self, request: &PlacedRequest, pool: &[EndpointKey]) -> PartHomes {
         let mut homes = PartHomes::default();
-        for (key, state) in like {
-            homes.offer(mix(part.id, state.hash), key);
+        let Some(part) = request.affinity_part() else { return homes };
+        for key in pool {
+            let state = &self.endpoints[*key];
+            if state.strict == request.strict {
+                homes.offer(mix(part.id, state.hash), *key);
+            }
         }
         homes
     }
@@ -451,32 +450,48 @@
     /// They are spread over the failure domains. Entries that know the same endpoints order them
     /// the same way.
     fn divide(&mut self) {
-        let mut services: HashMap<Box<str>, Vec<DividedRow>> = HashMap::new();
+        self.pools.clear();
         for (key, state) in self.endpoints.iter().filter(|(_, state)| !state.spec.leaving) {
-            let row = (key, state.hash, state.spec.domain.clone());
-            services.entry(state.spec.service.clone()).or_default().push(row);
+            match self.pools.get_mut(&state.spec.service) {
+                Some(pool) => pool.push(key),
+                None => {
+                    self.pools.insert(state.spec.service.clone(), vec![key]);
+                }
+            }
         }
-        for (service, mut rows) in services {
-            let division = self.divisions.get_mut(&service);
-            let strict = division.map_or(0, |division| division.strict_count(rows.len()));
-            rows.sort_unstable_by_key(|row| row.1);
-            let mut seen: HashMap<Box<str>, usize> = HashMap::new();
-            let mut order: Vec<(usize, u64, EndpointKey)> = rows
-                .into_iter()
-                .map(|(key, hash, domain)| {
-                    let turn = seen.entry(domain).or_default();
-                    *turn += 1;
-                    (*turn, hash, key)
-                })
-                .collect();
-            order.sort_unstable_by_key(|row| (row.0, row.1));
-            for (index, (_, _, key)) in order.into_iter().enumerate() {
+        for (service, pool) in &self.pools {
+            let division = self.divisions.get_mut(service);
+            let strict = division.map_or(0, |division| division.strict_count(pool.len()));
+            let order = spread(&self.endpoints, pool);
+            for (index, key) in order.into_iter().enumerate() {
                 self.endpoints[key].strict = index < strict;
             }
         }
     }
 }
 
+/// Returns endpoints in an order in which the first of each failure domain come first, then the
+/// second, and so on; within a domain by the hash of their names.
+fn spread(
+    endpoints: &SlotMap<EndpointKey, EndpointState>,
+    pool: &[EndpointKey],
+) -> Vec<EndpointKey> {
+    let mut by_hash = pool.to_vec();
+    by_hash.sort_unstable_by_key(|key| endpoints[*key].hash);
+    let mut seen: HashMap<&str, usize> = HashMap::new();
+    let mut order: Vec<(usize, u64, EndpointKey)> = by_hash
+        .into_iter()
+        .map(|key| {
+            let state = &endpoints[key];
+            let turn = seen.entry(&state.spec.domain).or_default();
+            *turn += 1;
+            (*turn, state.hash, key)
+        })
+        .collect();
+    order.sort_unstable_by_key(|row| (row.0, row.1));
+    order.into_iter().map(|(_, _, key)| key).collect()
+}
+
 /// Returns whether most slots of the endpoints are free.
 fn is_calm(now: TimePoint, endpoints: &[(EndpointKey, &EndpointState)]) -> bool {
     let slots: f64 = endpoints.iter().map(|(_, state)| f64::from(state.spec.slots)).sum();
--- a/crates/kernel/src/retry/decision.rs
+++ b/crates/kernel/src/retry/decision.rs
@@ -6,9 +6,12 @@
 
 use crate::{reason::DecisionReason, request::RunOutcome, retry::RetryBudget, route::mix};
 
-/// Most times one request is sent.
+/// Most times one request reaches an endpoint.
 pub const MAX_ATTEMPTS: u32 = 4;
 
+/// Most attempts that reach no endpoint: each costs a connection that is refused or not answered.
+pub const MAX_UNREACHED: u32 = 8;
+
 /// Mean delay before the second attempt; each further one doubles it.
 const BASE_DELAY: Duration = Duration::from_millis(20);
 
@@ -23,8 +26,12 @@
     pub retry_failures: bool,
     /// Whether bytes of an answer went to the caller.
     pub answer_begun: bool,
-    /// Attempts so far, at least 1.
+    /// Whether anything of the attempt may have reached an endpoint.
+    pub reached: bool,
+    /// Attempts so far that may have reached an endpoint.
     pub attempts: u32,
+    /// Attempts so far that reached none.
+    pub unreached: u32,
     /// Time left to the deadline.
     pub time_left: Duration,
     /// Time that a further attempt is expected to need.
@@ -51,6 +58,9 @@
 
 /// Decides whether a request is sent again and pays for it from `budget`.
 ///
+/// An attempt that reached no endpoint added no load: what was paid for it pays for the next one,
+/// which need not wait either.
+///
 /// `seed` spreads the delays of requests that failed at the same moment; use a part of the
 /// request's identifier.
 pub fn decide(budget: &mut RetryBudget, case: &RetryCase, seed: u64) -> RetryDecision {
@@ -58,7 +68,7 @@
         Ok(reason) => reason,
         Err(reason) => return RetryDecision::Stop { reason },
     };
-    let delay = delay(case.attempts, seed);
+    let delay = if case.reached { delay(case.attempts, seed) } else { Duration::ZERO };
     let needed = delay + case.needed;
     if needed > case.time_left {
         let needed_ms = needed.as_millis() as u64;
@@ -66,7 +76,7 @@
         let reason = DecisionReason::DeadlineUnreachable { needed_ms, left_ms };
         return RetryDecision::Stop { reason };
     }
-    if !budget.pay() {
+    if case.reached && !budget.pay() {
         return RetryDecision::Stop { reason: DecisionReason::RetryBudgetSpent };
     }
     RetryDecision::Retry { delay, reason }
@@ -77,8 +87,8 @@
     if case.answer_begun {
         return Err(DecisionReason::AnswerBegun);
     }
-    if case.attempts >= MAX_ATTEMPTS {
-        return Err(DecisionReason::AttemptsUsed { attempts: case.attempts });
+    if case.attempts >= MAX_ATTEMPTS || case.unreached >= MAX_UNREACHED {
+        return Err(DecisionReason::AttemptsUsed { attempts: case.attempts + case.unreached });
     }
     match case.outcome {
         RunOutcome::NotRun => Ok(DecisionReason::ProvedNotRun),
--- a/crates/kernel/src/retry/mod.rs
+++ b/crates/kernel/src/retry/mod.rs
@@ -9,5 +9,5 @@
 
 pub use self::{
     budget::{RETRY_RESERVE, RETRY_SHARE, RetryBudget},
-    decision::{MAX_ATTEMPTS, RetryCase, RetryDecision, decide},
+    decision::{MAX_ATTEMPTS, MAX_UNREACHED, RetryCase, RetryDecision, decide},
 };
--- a/crates/kernel/tests/duty.rs
+++ b/crates/kernel/tests/duty.rs
@@ -3,10 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use pimentorock_kernel::{
-    duty::{
-        ACT_SPAN, ClosedWindow, DutyHolder, DutyRecord, LATEST_CLOSE, RELEASED_SPAN, TAKEOVER_SPAN,
-        UsageShare, UsageTally, WindowBook,
-    },
+    duty::{ClosedWindow, DutyHolder, DutyLimits, DutyRecord, UsageShare, UsageTally, WindowBook},
     ids::ProcessId,
     time::TimePoint,
 };
@@ -14,6 +11,12 @@
 
 const WINDOW_MS: u64 = 5_000;
 const REPORT_TIME: Duration = Duration::from_millis(1_000);
+const DUE: Duration = Duration::from_secs(10);
+const LEASE: Duration = Duration::from_secs(3);
+
+fn limits() -> DutyLimits {
+    DutyLimits::new(LEASE, DUE)
+}
 
 fn process(name: &str) -> ProcessId {
     ProcessId { name: name.into(), incarnation: 1 }
@@ -50,31 +53,92 @@
 
 #[test]
 fn no_window_gets_two_figures_and_reports_of_two_holders_never_interleave() {
-    for seed in 0..400 {
-        session(seed);
+    for lease in [3, 5, 12].map(Duration::from_secs) {
+        for seed in 0..400 {
+            let mut reports = session(seed, DutyLimits::new(lease, DUE));
+            check_reports(seed, &mut reports);
+            assert!(!alternate(&reports, lease), "seed {seed}: holders alternate within {lease:?}");
+        }
+    }
+}
+
+#[test]
+fn a_duty_handed_back_and_forth_does_not_alternate_within_a_lease() {
+    // Seconds of the lease demanded, seconds of the lease that the limits are for, and the verdict.
+    for (demanded, set, breaks) in [(3, 3, false), (12, 12, false), (12, 3, true)] {
+        let limits = DutyLimits::new(Duration::from_secs(set), DUE);
+        let reports = handed_back_and_forth(limits);
+        assert_eq!(alternate(&reports, Duration::from_secs(demanded)), breaks, "{demanded} {set}");
+    }
+}
+
+/// Lets two processes report and give the duty up in turn, as soon as each may.
+fn handed_back_and_forth(limits: DutyLimits) -> Vec<SentReport> {
+    let mut now = TimePoint::from_millis(1_000);
+    let mut log = NaiveLog::default();
+    let mut holders = ["a", "b"].map(|name| DutyHolder::new(now, process(name), limits));
+    let mut reports = Vec::new();
+    for window in 0..3 {
+        let index = window as usize % 2;
+        holders.iter_mut().for_each(|holder| log.read_by(now, holder));
+        while !holders[index].may_close(now) {
+            now = now + Duration::from_millis(100);
+        }
+        let record = holders[index].record(vec![closed(window, 1)]);
+        let offset = log.append(holders[index].end(), record.clone()).expect("nobody else writes");
+        holders[index].appended(now, now, offset, record);
+        let report = holders[index].next_report(now, REPORT_TIME, window).expect("a report is due");
+        reports.push((now, index, report.fencing.0, report.closed));
+        let release = holders[index].release().expect("the holder may give it up");
+        let offset = log.append(holders[index].end(), release.clone()).expect("nobody else writes");
+        holders[index].appended(now, now, offset, release);
+    }
+    reports
+}
+
+/// Returns whether reports of two processes come in the order A, B, A within `lease`.
+fn alternate(reports: &[SentReport], lease: Duration) -> bool {
+    let mut turns: Vec<&SentReport> = Vec::new();
+    let mut sorted: Vec<&SentReport> = reports.iter().collect();
+    sorted.sort_by_key(|report| report.0);
+    for report in sorted {
+        match turns.last() {
+            Some(last) if last.1 == report.1 => *turns.last_mut().expect("a turn") = report,
+            Some(_) if turns.len() >= 2 => {
+                let before = turns[turns.len() - 2];
+                if before.1 == report.1 && report.0.since(before.0) < lease {
+                    return true;
+                }
+                turns.push(report);
+            }
+            _ => turns.push(report),
+        }
     }
+    false
 }
 
+/// When a report arrives, of which process, under which number, and what it says.
+type SentReport = (TimePoint, usize, u64, ClosedWindow);
+
 /// Plays processes that read, append, lose answers, report late, freeze and restart.
-fn session(seed: u64) {
+fn session(seed: u64, limits: DutyLimits) -> Vec<SentReport> {
     let mut generator = Gen::from_size_and_seed(30, seed);
     let mut below = |bound: u64| u64::arbitrary(&mut generator) % bound;
     let mut now = TimePoint::from_millis(1_000);
     let mut log = NaiveLog::default();
     let names = ["a", "b", "c"];
     let mut holders: Vec<DutyHolder> =
-        names.iter().map(|name| DutyHolder::new(now, process(name))).collect();
+        names.iter().map(|name| DutyHolder::new(now, process(name), limits)).collect();
     // Appends whose answer was lost and that may still be carried out.
     let mut late: Vec<(u64, DutyRecord)> = Vec::new();
-    // Reports in the order of their arrival: when, by whom, fencing number, window and counts.
-    let mut reports: Vec<(TimePoint, usize, u64, ClosedWindow)> = Vec::new();
+    let mut reports = Vec::new();
     for _ in 0..400 {
         now = now + Duration::from_millis(below(1_200));
         let index = below(3) as usize;
         match below(8) {
             0 => {
-                holders[index] =
-                    DutyHolder::new(now, process(&format!("{}{}", names[index], now.as_micros())))
+                let name = format!("{}{}", names[index], now.as_micros());
+                holders[index] = DutyHolder::new(now, process(&name), limits);
             }
             1 if !late.is_empty() => {
                 let (expected, record) = late.remove(0);
@@ -101,7 +165,7 @@
             }
         }
     }
-    check_reports(seed, &mut reports);
+    reports
 }
 
 fn append(
@@ -130,7 +194,7 @@
     }
 }
 
-fn check_reports(seed: u64, reports: &mut [(TimePoint, usize, u64, ClosedWindow)]) {
+fn check_reports(seed: u64, reports: &mut [SentReport]) {
     let mut figures: BTreeMap<u64, &ClosedWindow> = BTreeMap::new();
     reports.sort_by_key(|report| report.0);
     let mut fencing = 0;
@@ -145,12 +209,12 @@
 #[test]
 fn a_window_closed_by_nobody_else_is_reported_within_the_time_to_act() {
     let start = TimePoint::from_millis(1_000);
-    let mut holder = DutyHolder::new(start, process("a"));
+    let mut holder = DutyHolder::new(start, process("a"), limits());
     let record = holder.record(vec![closed(7, 3)]);
     holder.appended(start, start, 0, record);
     let report = holder.next_report(start, REPORT_TIME, 0).unwrap();
     assert_eq!((report.fencing.0, report.closed), (0, closed(7, 3)));
-    let late = start + ACT_SPAN - REPORT_TIME;
+    let late = start + limits().act_span - REPORT_TIME;
     assert_eq!(holder.next_report(late, REPORT_TIME, 0), None);
     assert!(holder.needs_renewal(late, REPORT_TIME, 0));
 }
@@ -158,32 +222,33 @@
 #[test]
 fn another_process_waits_for_silence_before_it_takes_over() {
     let start = TimePoint::from_millis(1_000);
-    let mut other = DutyHolder::new(start, process("b"));
-    let first = DutyHolder::new(start, process("a")).record(vec![closed(7, 3)]);
+    let mut other = DutyHolder::new(start, process("b"), limits());
+    let first = DutyHolder::new(start, process("a"), limits()).record(vec![closed(7, 3)]);
     other.read(start, 0, first);
-    assert!(!other.may_close(start + TAKEOVER_SPAN - Duration::from_millis(1)));
-    assert!(other.may_close(start + TAKEOVER_SPAN));
+    assert!(!other.may_close(start + limits().takeover_span - Duration::from_millis(1)));
+    assert!(other.may_close(start + limits().takeover_span));
     let record = other.record(vec![closed(8, 4)]);
     assert_eq!(record.windows, [closed(7, 3), closed(8, 4)]);
-    assert!(TAKEOVER_SPAN > ACT_SPAN + 2 * REPORT_TIME);
+    assert!(limits().takeover_span > limits().act_span + 2 * REPORT_TIME);
 }
 
 #[test]
 fn a_duty_that_was_given_up_is_taken_over_sooner_but_not_within_a_lease() {
     let start = TimePoint::from_millis(1_000);
-    let mut first = DutyHolder::new(start, process("a"));
+    let mut first = DutyHolder::new(start, process("a"), limits());
     let record = first.record(vec![closed(7, 3)]);
     first.appended(start, start, 0, record);
     let release = first.release().unwrap();
     first.appended(start, start, 1, release.clone());
     assert_eq!(first.next_report(start, REPORT_TIME, 0), None);
     assert_eq!(first.release(), None);
-    let mut other = DutyHolder::new(start, process("b"));
+    let mut other = DutyHolder::new(start, process("b"), limits());
     other.read(start, 1, release);
-    assert!(!other.may_close(start + RELEASED_SPAN - Duration::from_millis(1)));
-    assert!(other.may_close(start + RELEASED_SPAN));
+    assert!(!other.may_close(start + limits().released_span - Duration::from_millis(1)));
+    assert!(other.may_close(start + limits().released_span));
     assert_eq!(other.record(Vec::new()).windows, [closed(7, 3)]);
-    assert!(RELEASED_SPAN > ACT_SPAN && RELEASED_SPAN < TAKEOVER_SPAN);
+    let DutyLimits { act_span, released_span, takeover_span, .. } = limits();
+    assert!(released_span > act_span && released_span < takeover_span);
 }
 
 fn share(name: &str, until_ms: u64, counts: &[(u64, u64)]) -> UsageShare {
@@ -193,7 +258,7 @@
 
 #[test]
 fn a_window_closes_when_all_have_shared_past_its_end() {
-    let mut book = WindowBook::new(WINDOW_MS);
+    let mut book = WindowBook::new(WINDOW_MS, limits());
     book.take(share("a", 15_200, &[(2, 3)]));
     book.take(share("b", 14_900, &[(2, 4)]));
     assert_eq!(book.closable(15_400, Some(1)), []);
@@ -206,17 +271,17 @@
 
 #[test]
 fn a_window_closes_without_a_process_that_fell_silent() {
-    let mut book = WindowBook::new(WINDOW_MS);
+    let mut book = WindowBook::new(WINDOW_MS, limits());
     book.take(share("a", 15_200, &[(2, 3)]));
     book.take(share("b", 14_900, &[(2, 4)]));
-    let latest = 15_000 + LATEST_CLOSE.as_millis() as u64;
+    let latest = 15_000 + limits().latest_close.as_millis() as u64;
     assert_eq!(book.closable(latest - 1, Some(1)), []);
     assert_eq!(book.closable(latest, Some(1)), [closed(2, 7)]);
 }
 
 #[test]
 fn both_runs_of_a_restarted_process_count() {
-    let mut book = WindowBook::new(WINDOW_MS);
+    let mut book = WindowBook::new(WINDOW_MS, limits());
     book.take(share("a", 12_000, &[(2, 3)]));
     let mut second = share("a", 15_200, &[(2, 4)]);
     second.process.incarnation = 2;
@@ -246,3 +311,20 @@
         }
     }
 }
+
+#[test]
+fn limits_follow_what_the_deployment_demands() {
+    // Lease and due time in seconds; takeover, release and latest close in milliseconds.
+    let cases = [
+        (3, 10, 7_500, 3_500, 6_500),
+        (1, 10, 7_500, 3_500, 6_500),
+        (8, 20, 12_500, 8_500, 16_500),
+        (3, 4, 7_500, 3_500, 2_000),
+    ];
+    for (lease, due, takeover, released, close) in cases {
+        let limits = DutyLimits::new(Duration::from_secs(lease), Duration::from_secs(due));
+        assert_eq!(limits.takeover_span, Duration::from_millis(takeover));
+        assert_eq!(limits.released_span, Duration::from_millis(released));
+        assert_eq!(limits.latest_close, Duration::from_millis(close));
+    }
+}
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -87,12 +87,12 @@
 
 #[test]
 fn all_entries_send_a_part_to_the_same_endpoint() {
-    let (one, mut other) = (table(9), table(9));
+    let (mut one, mut other) = (table(9), table(9));
     // What the other entry sent before does not matter.
     place(&mut other, &digest(77));
     for part in 0..50 {
         let request = digest(part);
-        let choices = [&one, &other].map(|table| table.choose(NOW, &request, &[]).unwrap());
+        let choices = [&mut one, &mut other].map(|table| table.choose(NOW, &request, &[]).unwrap());
         assert_eq!(choices[0].name, choices[1].name);
         assert_eq!(choices[0].home_rank, Some(0));
     }
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -6,7 +6,8 @@
     reason::DecisionReason,
     request::RunOutcome,
     retry::{
-        MAX_ATTEMPTS, RETRY_RESERVE, RETRY_SHARE, RetryBudget, RetryCase, RetryDecision, decide,
+        MAX_ATTEMPTS, MAX_UNREACHED, RETRY_RESERVE, RETRY_SHARE, RetryBudget, RetryCase,
+        RetryDecision, decide,
     },
 };
 use quickcheck::{Arbitrary, Gen};
@@ -28,6 +29,7 @@
     (proved_not_run || lost_and_idempotent || failed_and_idempotent)
         && !case.answer_begun
         && case.attempts < MAX_ATTEMPTS
+        && case.unreached < MAX_UNREACHED
 }
 
 #[test]
@@ -47,20 +49,23 @@
                 idempotent: below(2) == 0,
                 retry_failures: below(2) == 0,
                 answer_begun: below(5) == 0,
+                reached: below(4) > 0,
                 attempts: 1 + below(u64::from(MAX_ATTEMPTS)) as u32,
+                unreached: below(u64::from(MAX_UNREACHED) + 2) as u32,
                 time_left: Duration::from_millis(below(4000)),
                 needed: Duration::from_millis(below(1000)),
             };
             let decision = decide(&mut budget, &case, seed * 1000 + step);
             match &decision {
                 RetryDecision::Retry { delay, .. } => {
-                    ledger -= 1.0;
+                    ledger -= if case.reached { 1.0 } else { 0.0 };
                     assert!(naive_allowed(&case), "{case:?}");
                     assert!(*delay + case.needed <= case.time_left, "{case:?} after {delay:?}");
                     assert!(ledger >= -1e-9, "more retries than the budget holds");
                 }
                 RetryDecision::Stop { reason: DecisionReason::RetryBudgetSpent } => {
                     assert!(naive_allowed(&case) && ledger < 1.0, "{case:?}, {ledger}");
+                    assert!(case.reached, "{case:?} was free");
                 }
                 RetryDecision::Stop { reason: DecisionReason::DeadlineUnreachable { .. } } => {
                     let latest = case.needed + Duration::from_millis(240);
@@ -81,7 +86,9 @@
         idempotent: false,
         retry_failures: false,
         answer_begun: false,
+        reached: true,
         attempts: 1,
+        unreached: 0,
         time_left: Duration::from_secs(10),
         needed: Duration::ZERO,
     };
@@ -90,6 +97,31 @@
     assert_eq!((0..10_000).filter(retried).count(), RETRY_RESERVE as usize);
 }
 
+#[test]
+fn attempts_that_reach_no_endpoint_cost_nothing_and_go_on_at_once() {
+    let mut budget = RetryBudget::with_limits(0.0, 0.0);
+    let case = |reached, unreached| RetryCase {
+        outcome: RunOutcome::NotRun,
+        idempotent: false,
+        retry_failures: false,
+        answer_begun: false,
+        reached,
+        attempts: u32::from(reached),
+        unreached,
+        time_left: Duration::from_millis(10),
+        needed: Duration::from_millis(8),
+    };
+    // A third of the endpoints are down: nearly all requests find one that is up.
+    for unreached in 1..MAX_UNREACHED {
+        let expected =
+            RetryDecision::Retry { delay: Duration::ZERO, reason: DecisionReason::ProvedNotRun };
+        assert_eq!(decide(&mut budget, &case(false, unreached), 7), expected);
+    }
+    let stop = |decision| matches!(decision, RetryDecision::Stop { .. });
+    assert!(stop(decide(&mut budget, &case(false, MAX_UNREACHED), 7)));
+    assert!(stop(decide(&mut budget, &case(true, 0), 7)), "an arrival is paid for");
+}
+
 #[test]
 fn delays_are_spread() {
     let mut buckets = [0; 10];
@@ -100,7 +132,9 @@
             idempotent: true,
             retry_failures: false,
             answer_begun: false,
+            reached: true,
             attempts: 1,
+            unreached: 0,
             time_left: Duration::from_secs(10),
             needed: Duration::ZERO,
         };
--- a/crates/kernel/tests/route_golden.rs
+++ b/crates/kernel/tests/route_golden.rs
@@ -173,7 +173,9 @@
             idempotent,
             retry_failures: false,
             answer_begun: false,
+            reached: true,
             attempts: 1,
+            unreached: 0,
             time_left: spec.time_left(self.now),
             needed: Duration::from_millis(500),
         };
--- a/crates/lab/src/experiment/attempt.rs
+++ b/crates/lab/src/experiment/attempt.rs
@@ -117,7 +117,9 @@
             idempotent: spec.idempotent,
             retry_failures: false,
             answer_begun: request.first.is_some(),
+            reached: true,
             attempts: request.attempts,
+            unreached: 0,
             time_left: spec.time_left(self.now),
             needed: Duration::ZERO,
         };
