Write log lines whole, in pieces that a pipe takes at once

All lines of 200 ms went out in one write; a reader that takes a part of a large write got cut lines. Ruled out: dropped lines (none were counted), requests without an end (every one has one now).

--- a/crates/gateway/src/log_queue.rs
+++ b/crates/gateway/src/log_queue.rs
@@ -16,6 +16,10 @@
 /// Time for which lines are gathered before they are written, to save system calls.
 const GATHER_SPAN: Duration = Duration::from_millis(200);
 
+/// Bytes that are written at once: a pipe takes so much whole, so lines of several writers do not
+/// mix, and a reader that takes a part of what is there still gets whole lines.
+const MAX_WRITE_BYTES: usize = 4_096;
+
 /// A bounded queue of lines with a thread that writes them.
 ///
 /// A push never waits. Lines that find the queue full are dropped, counted, and told of in a line
@@ -59,25 +63,39 @@
     let mut told = 0;
     while let Ok(first) = lines.recv() {
         std::thread::sleep(GATHER_SPAN);
-        let mut text = first;
-        text.push('\n');
-        for line in lines.try_iter().take(MAX_WAITING_LINES) {
-            text.push_str(&line);
-            text.push('\n');
-        }
+        let mut gathered = vec![first];
+        gathered.extend(lines.try_iter().take(MAX_WAITING_LINES));
         let now_dropped = dropped.load(Ordering::Relaxed);
         if now_dropped > told {
-            text.push_str(&dropped_line(now_dropped - told));
+            gathered.push(dropped_line(now_dropped - told));
             told = now_dropped;
         }
-        // Nobody may be reading, which does not concern the service.
-        let _ = writer.write_all(text.as_bytes());
+        for text in in_writes(&gathered) {
+            // Nobody may be reading, which does not concern the service.
+            let _ = writer.write_all(text.as_bytes());
+        }
+    }
+}
+
+/// Joins lines into texts of at most [`MAX_WRITE_BYTES`]; a longer line stands alone.
+fn in_writes(lines: &[String]) -> Vec<String> {
+    let mut texts: Vec<String> = Vec::new();
+    for line in lines {
+        let fits = |text: &&mut String| text.len() + line.len() < MAX_WRITE_BYTES;
+        match texts.last_mut().filter(fits) {
+            Some(text) => text.push_str(line),
+            None => texts.push(line.clone()),
+        }
+        if let Some(text) = texts.last_mut() {
+            text.push('\n');
+        }
     }
+    texts
 }
 
 fn dropped_line(count: u64) -> String {
     let line = serde_json::json!({
         "level": "WARN", "part": "logs", "message": "lines were dropped", "dropped": count,
     });
-    format!("{line}\n")
+    line.to_string()
 }
--- a/crates/gateway/tests/log_queue.rs
+++ b/crates/gateway/tests/log_queue.rs
@@ -54,3 +54,22 @@
     }
     assert_eq!((lines + told, told), (pushed, queue.dropped()));
 }
+
+#[test]
+fn lines_are_written_whole_and_a_pipe_takes_each_write_at_once() {
+    let (give_leave, leave) = channel();
+    let (written, writes) = channel();
+    let queue = LogQueue::start(HeldWriter { leave, written }).unwrap();
+    let lengths = [200, 3_000, 1_500, 20_000, 10, 4_095, 4_096, 1];
+    let lines: Vec<String> = lengths.iter().map(|length| "x".repeat(*length)).collect();
+    lines.iter().for_each(|line| queue.push(line.clone()));
+    let mut read: Vec<String> = Vec::new();
+    while read.len() < lines.len() {
+        give_leave.send(()).unwrap();
+        let text = writes.recv_timeout(Duration::from_secs(20)).expect("lines go on");
+        assert!(text.ends_with('\n'));
+        assert!(text.len() <= 4_096 || text.lines().count() == 1, "{} bytes", text.len());
+        read.extend(text.lines().map(str::to_owned));
+    }
+    assert_eq!(read, lines);
+}
