Leave endpoints that are down alone, and those replaced at their address until the store tells of them

Now: an endpoint that took no connection is down for ten times the time that took (0.2 to 3 s), then one request at a time tries; one that is replaced waits for the store.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -373,10 +373,11 @@
             Ok(link) => link,
             Err(error) => {
                 self.state.metrics.note_send("unreached", repeat);
-                self.state.note_failure(clock::now(), choice.endpoint, &choice.name);
+                self.state.note_unreached(now, choice.endpoint, &choice.name);
                 return SendEnd::Unreached(error.to_string().into());
             }
         };
+        self.state.table().note_reached(choice.endpoint);
         let request = self.forwarded(choice, last_event);
         let answer = tokio::time::timeout(self.request.time_left(), link.send(request)).await;
         let end = match answer {
@@ -411,9 +412,7 @@
         }
         if said.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             if head.status == StatusCode::MISDIRECTED_REQUEST {
-                // Another endpoint answers there; this one is no longer at its address.
-                self.state.note_failure(now, choice.endpoint, &choice.name);
-                self.state.table().lapse(&choice.name);
+                self.state.note_replaced(choice.endpoint, &choice.name);
             }
             return SendEnd::NotRun(format!("turned away with status {}", head.status).into());
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -305,7 +305,24 @@
         (ratio * BUDGET_SHARE, slack * BUDGET_SHARE / entries)
     }
 
-    /// Notes that an endpoint failed a request, or could not be reached.
+    /// Notes that an endpoint took no connection since `began`.
+    pub(crate) fn note_unreached(&self, began: TimePoint, endpoint: EndpointKey, name: &str) {
+        let now = clock::now();
+        let waited = now.since(began);
+        log::info!(
+            target: part::REQUEST, endpoint = name, waited_ms = waited.as_millis() as u64;
+            "endpoint is down"
+        );
+        self.table().note_unreached(now, endpoint, waited);
+    }
+
+    /// Notes that another endpoint answered at the address of this one.
+    pub(crate) fn note_replaced(&self, endpoint: EndpointKey, name: &str) {
+        log::info!(target: part::REQUEST, endpoint = name; "endpoint is replaced at its address");
+        self.table().note_replaced(endpoint);
+    }
+
+    /// Notes that an endpoint failed a request.
     pub(crate) fn note_failure(&self, now: TimePoint, endpoint: EndpointKey, name: &str) {
         log::info!(target: part::REQUEST, endpoint = name; "endpoint rests after a failure");
         self.table().note_failure(now, endpoint);
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -18,6 +18,16 @@
 /// Longest time without new sends after failures.
 const LONGEST_REST: Duration = Duration::from_secs(3);
 
+/// Shortest time between two tries to connect to an endpoint that is down.
+const LEAST_DOWN: Duration = Duration::from_millis(200);
+
+/// Longest time between two tries to connect to an endpoint that is down.
+const MOST_DOWN: Duration = Duration::from_secs(3);
+
+/// Time between two tries to connect, in relation to the time that one takes to fail: a host that
+/// refuses at once is asked often, one that does not answer rarely.
+const DOWN_RATIO: u32 = 10;
+
 /// Age at which what an endpoint said of its load no longer counts.
 const SAMPLE_LIFE: Duration = Duration::from_secs(1);
 
@@ -115,6 +125,13 @@
     parts: HashMap<u64, TimePoint>,
     failures: u32,
     rests_until: TimePoint,
+    /// Whether the last try to connect failed.
+    unreached: bool,
+    down_until: TimePoint,
+    /// Whether one request tries whether it is back.
+    tried: bool,
+    /// Whether another endpoint answers at its address.
+    pub(super) replaced: bool,
 }
 
 impl EndpointState {
@@ -132,6 +149,10 @@
             parts: HashMap::new(),
             failures: 0,
             rests_until: TimePoint::ZERO,
+            unreached: false,
+            down_until: TimePoint::ZERO,
+            tried: false,
+            replaced: false,
         }
     }
 
@@ -187,6 +208,32 @@
         self.parts.insert(part, now);
     }
 
+    /// Returns whether nothing listens there as far as this entry knows. Once it may be back, one
+    /// request at a time tries.
+    pub(super) fn is_down(&self, now: TimePoint) -> bool {
+        self.replaced || now < self.down_until || (self.unreached && self.tried)
+    }
+
+    pub(super) fn note_sent(&mut self) {
+        self.tried = self.unreached;
+    }
+
+    pub(super) fn note_unreached(&mut self, now: TimePoint, waited: Duration) {
+        self.down_until = now + (waited * DOWN_RATIO).clamp(LEAST_DOWN, MOST_DOWN);
+        self.unreached = true;
+        self.tried = false;
+    }
+
+    /// Notes the end of a request, which may have been the one that tried.
+    pub(super) fn note_ended(&mut self) {
+        self.tried = false;
+    }
+
+    pub(super) fn note_reached(&mut self) {
+        self.unreached = false;
+        self.tried = false;
+    }
+
     pub(super) fn rests(&self, now: TimePoint) -> bool {
         now < self.rests_until
     }
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -127,6 +127,7 @@
             Some(key) => {
                 self.endpoints[key].spec = spec;
                 self.endpoints[key].lapsed = false;
+                self.endpoints[key].replaced = false;
                 key
             }
             None => {
@@ -182,11 +183,15 @@
             self.divide();
         }
         let pool = self.pools.get(&request.service).map_or(&[][..], Vec::as_slice);
-        let open: Vec<(EndpointKey, &EndpointState)> = pool
+        let mut open: Vec<(EndpointKey, &EndpointState)> = pool
             .iter()
             .filter(|key| !excluded.contains(key))
             .map(|key| (*key, &self.endpoints[*key]))
             .collect();
+        // One that is down looks idle. It is no way out while others are full.
+        if open.iter().any(|(_, state)| !state.is_down(now)) {
+            open.retain(|(_, state)| !state.is_down(now));
+        }
         if open.is_empty() {
             return Err(DecisionReason::NoEndpoint);
         }
@@ -278,6 +283,7 @@
         state.prefill += ticket.prefill;
         state.in_flight += 1;
         state.memory += memory;
+        state.note_sent();
         for part in request.shared_parts() {
             state.note_part(now, part.id);
         }
@@ -341,6 +347,7 @@
             state.prefill = (state.prefill - ticket.prefill).max(0.0);
         }
         ticket.started = true;
+        state.note_ended();
         state.in_flight = state.in_flight.saturating_sub(1);
         state.memory = state.memory.saturating_sub(ticket.memory);
     }
@@ -375,7 +382,30 @@
         }
     }
 
-    /// Notes that an endpoint was not reached or lost a request: it rests for a while.
+    /// Notes that nothing listens at an endpoint's address, or nobody answers there, which took
+    /// `waited` to find out: it is down for a while.
+    pub fn note_unreached(&mut self, now: TimePoint, endpoint: EndpointKey, waited: Duration) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.note_unreached(now, waited);
+        }
+    }
+
+    /// Notes that an endpoint took a connection.
+    pub fn note_reached(&mut self, endpoint: EndpointKey) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.note_reached();
+        }
+    }
+
+    /// Notes that another endpoint answers at the address of this one: it is gone until the store
+    /// tells something new of it.
+    pub fn note_replaced(&mut self, endpoint: EndpointKey) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.replaced = true;
+        }
+    }
+
+    /// Notes that an endpoint lost a request: it rests for a while.
     pub fn note_failure(&mut self, now: TimePoint, endpoint: EndpointKey) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.note_failure(now);
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -218,3 +218,87 @@
         assert_eq!(table.own_load(), [], "seed {seed}");
     }
 }
+
+/// Time in which a host refuses a connection.
+const REFUSED: Duration = Duration::from_millis(1);
+
+/// Returns a table in which the endpoints at `down` did not answer at [`NOW`].
+fn table_with_down(count: usize, down: &[usize]) -> PlacementTable {
+    let mut table = table(count);
+    for index in down {
+        let key = table.key(&format!("e{index}")).unwrap();
+        table.note_unreached(NOW, key, REFUSED);
+    }
+    table
+}
+
+#[test]
+fn an_endpoint_that_is_down_is_no_way_out_while_the_others_are_full() {
+    let mut table = table_with_down(4, &[0, 1]);
+    let mut used = HashMap::new();
+    let refused = loop {
+        match table.choose(NOW, &digest(1), &[]) {
+            Ok(choice) => {
+                table.sent(NOW, choice.endpoint, &digest(1));
+                *used.entry(choice.name).or_insert(0) += 1;
+            }
+            Err(reason) => break reason,
+        }
+    };
+    assert_eq!(refused, DecisionReason::QueueFull);
+    assert!(!used.contains_key("e0") && !used.contains_key("e1"), "{used:?}");
+}
+
+#[test]
+fn endpoints_that_are_down_are_tried_if_there_is_no_other() {
+    let mut table = table_with_down(2, &[0, 1]);
+    assert!(table.choose(NOW, &digest(1), &[]).is_ok());
+}
+
+#[test]
+fn one_request_at_a_time_tries_whether_an_endpoint_is_back() {
+    let mut table = table_with_down(2, &[0]);
+    table.divide_services(&[]);
+    let down = table.key("e0").unwrap();
+    let later = NOW + Duration::from_millis(200);
+    let chosen = |table: &mut PlacementTable, at| {
+        let up = table.key("e1").unwrap();
+        (0..40).any(|part| {
+            let choice = table.choose(at, &digest(part), &[]).unwrap();
+            assert!([up, down].contains(&choice.endpoint));
+            choice.endpoint == down
+        })
+    };
+    assert!(!chosen(&mut table, later - Duration::from_millis(1)));
+    assert!(chosen(&mut table, later));
+    let mut ticket = table.sent(later, down, &digest(1));
+    assert!(!chosen(&mut table, later), "another request tries it");
+    table.ended(&mut ticket);
+    assert!(chosen(&mut table, later), "the caller of that request left");
+    table.sent(later, down, &digest(1));
+    table.note_unreached(later, down, Duration::from_millis(100));
+    let last = later + Duration::from_millis(1_000);
+    assert!(
+        !chosen(&mut table, last - Duration::from_millis(1)),
+        "one that is slow is asked rarely"
+    );
+    table.sent(last, down, &digest(1));
+    table.note_reached(down);
+    assert!(chosen(&mut table, last));
+}
+
+#[test]
+fn an_endpoint_replaced_at_its_address_is_left_until_the_store_tells_of_it() {
+    let mut table = table(2);
+    table.divide_services(&[]);
+    let replaced = table.key("e0").unwrap();
+    table.note_replaced(replaced);
+    let late = NOW + Duration::from_secs(60);
+    let names = |table: &mut PlacementTable| -> Vec<Box<str>> {
+        let choose = |part| table.choose(late, &digest(part), &[]).unwrap().name;
+        (0..40).map(choose).collect()
+    };
+    assert!(names(&mut table).iter().all(|name| &**name == "e1"));
+    table.put(endpoint("e0", "a"));
+    assert!(names(&mut table).iter().any(|name| &**name == "e0"));
+}
