Tell from saved logs what became of a request, and what spoke against all endpoints

The cost of an endpoint and the order that spreads endpoints over failure domains get files of their own.

--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint_drain;
 mod endpoint_list;
 mod explain;
+mod explain_logs;
 mod key_create;
 mod key_list;
 mod key_withdraw;
@@ -54,7 +55,12 @@
             endpoint_drain::run(context, &name, output).await
         }
         ToolCommand::Status => status::run(context, output).await,
-        ToolCommand::Explain { request } => explain::run(context, &request, output).await,
+        ToolCommand::Explain { logs, request } if logs.is_empty() => {
+            explain::run(context, &request, output).await
+        }
+        ToolCommand::Explain { logs, request } => {
+            explain_logs::run(&request, &logs, context.options.json, output)
+        }
         ToolCommand::Burn { plot } => burn::run(context, plot.as_deref(), output).await,
         ToolCommand::Usage { account } => usage::run(context, account.as_deref(), output).await,
     }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
   the same code as every daemon, and so prints the same verdict.
 * `process_client` asks daemons over their operators' addresses.
 * `change_file` turns a settings file into edits under paths.
+* `log_book` joins saved log lines of several processes.
 * `burn_report` and `burn_plot` show the burn of service levels.
 * [`exit_code`] documents the exit codes.
 
@@ -42,6 +43,7 @@
 mod context;
 mod difference_text;
 mod error;
+mod log_book;
 mod log_follow;
 mod options;
 mod process_client;
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -68,7 +68,10 @@
     /// Show what became of a request, and why
     #[bpaf(command)]
     Explain {
-        /// Value of the answer's x-request-id header
+        /// Saved log file to read in place of asking processes; may be given several times
+        #[bpaf(long("logs"), argument("FILE"))]
+        logs: Vec<PathBuf>,
+        /// Value of the answer's x-request-id header, or with --logs any identifier of a request
         #[bpaf(positional("REQUEST-ID"))]
         request: String,
     },
--- a/crates/ctl/tests/session.rs
+++ b/crates/ctl/tests/session.rs
@@ -394,3 +394,39 @@
     }
     insta::assert_snapshot!(session.transcript);
 }
+
+/// Lines of two entries whose clocks are three seconds apart, as a collector saved them.
+const SAVED_LOGS: [&str; 2] = [
+    r#"{"at_ms":1796350000000,"process":"front-a-1#1","level":"WARN","part":"peer","message":"wall clock differs from most others","skew_ms":3000}
+{"at_ms":1796350000100,"process":"front-a-1#1","level":"INFO","part":"request","message":"request placed","request":"r-lost","route":"order","endpoint":"i-2","sends":1,"load":0,"others_age_ms":56}
+{"at_ms":1796350000250,"process":"front-a-1#1","level":"INFO","part":"request","message":"send failed","request":"r-lost","endpoint":"i-2","sends":1,"may_have_run":true,"reason":"lost: connection error"}
+{"at_ms":1796350000250,"process":"front-a-1#1","level":"INFO","part":"request","message":"endpoint rests after a failure","endpoint":"i-2"}
+{"at_ms":1796350000251,"process":"front-a-1#1","level":"WARN","part":"request","message":"request given up","request":"r-lost","route":"order","status":502,"sends":1,"waited_ms":155,"reason":"it may have run and is not idempotent; before: lost: connection error"}
+{"at_ms":1796350000900,"process":"front-a-1#1","level":"INFO","part":"follow","message":"endpoint gone","endpoint":"i-2"}
+{"at_ms":1796350000901,"process":"front-a-1#1","level":"INFO","part":"follow","message":"endpoint gone","endpoint":"i-9"}
+"#,
+    r#"  3.0000 front-b-1 {"at_ms":1796350003000,"process":"front-b-1#1","level":"INFO","part":"follow","message":"configuration applied","version":35,"source":"peer"}
+  3.0000 front-b-1 {"at_ms":1796350003400,"process":"front-b-1#1","level":"WARN","part":"request","message":"request given up","request":"r-full","route":"chat","status":503,"sends":0,"waited_ms":0,"reason":"the queue is full"}
+  3.0000 front-b-1 {"at_ms":1796350003500,"process":"front-b-1#1","level":"INFO","part":"request","message":"request placed","request":"r-cut","route":"chat","endpoint":"i-3","sends":1,"load":6}
+  3.0000 front-b-1 {"at_ms":1796350004304,"process":"front-b-1#1","level":"WARN","part":"request","message":"stream broken off","request":"r-cut","route":"chat","last_event":"3","reason":"the deadline passed"}
+  3.0000 front-b-1 {"at_ms":1796350004305,"process":"front-b-1#1","level":"INFO","part":"request","message":"stream ended","request":"r-cut","route":"chat","outcome":"broken_off","sends":1,"total_ms":804}
+  a line of another program
+"#,
+];
+
+#[tokio::test]
+async fn saved_logs() {
+    let mut session = ToolSession::new(None, &[]);
+    let [first, second] = SAVED_LOGS;
+    let first = session.file("front-a-1.log", first);
+    let second = session.file("front-b-1.log", second);
+    let logs = format!("--logs={first}");
+    let more = format!("--logs={second}");
+    // Refused under overload, a lost answer of a request that runs once, and a broken stream.
+    for request in ["r-full", "r-lost", "r-cut", "r-absent"] {
+        session.call(&["explain", &logs, &more, request]).await;
+    }
+    session.call(&["explain", &more, "r-full", "--json"]).await;
+    session.call(&["explain", "--logs=no-such-file.log", "r-full"]).await;
+    insta::assert_snapshot!(session.transcript);
+}
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use pimentorock_kernel::{
     ids::EndpointKey,
-    place::{PlaceChoice, PlacedRequest, WorkTicket},
+    place::{PlaceChoice, PlaceOutlook, PlacedRequest, WorkTicket},
     reason::DecisionReason,
     request::RunOutcome,
     retry::{RetryCase, RetryDecision},
@@ -315,8 +315,27 @@
         if now + LEAST_SEND_TIME > self.request.deadline {
             return Err(self.given_up("no time is left".into()));
         }
-        let choice = self.state.table().choose(now, &self.request.placed, &self.excluded);
-        choice.map_err(|reason: DecisionReason| self.given_up(reason.to_string().into()))
+        let mut table = self.state.table();
+        let choice = table.choose(now, &self.request.placed, &self.excluded);
+        choice.map_err(|reason: DecisionReason| {
+            let outlook = table.outlook(now, &self.request.placed);
+            drop(table);
+            self.note_not_placed(&reason, &outlook);
+            self.given_up(reason.to_string().into())
+        })
+    }
+
+    fn note_not_placed(&self, reason: &DecisionReason, outlook: &PlaceOutlook) {
+        log::info!(
+            target: part::REQUEST,
+            request = &*self.request.id, service = &*self.request.placed.service,
+            reason = reason.to_string(), open = outlook.open, down = outlook.down,
+            excluded = self.excluded.len(), short_of_memory = outlook.short_of_memory,
+            least_load = outlook.least_load, load_limit = outlook.load_limit,
+            others_age_ms = outlook.others_age.map_or(-1, |age| age.as_millis() as i64),
+            prompt_tokens = self.request.placed.prompt_tokens;
+            "request not placed"
+        );
     }
 
     /// Returns the final answer for a request that is sent no more.
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -6,11 +6,14 @@
 //! request, shared prompt parts that the endpoint does not hold, the distance, and long prompts
 //! beside short streams, whose tokens they delay. Which endpoints there are, [`EndpointBook`] says.
 
+mod cost;
 mod division;
 mod endpoint;
 mod endpoint_book;
+mod outlook;
 mod part_homes;
 mod request;
+mod spread;
 mod table;
 mod work;
 
@@ -18,6 +21,7 @@
     division::strict_pauses,
     endpoint::{EndpointSample, LoadRow, PlacedEndpoint},
     endpoint_book::{BookChange, EndpointBook, EndpointEntry, LAPSE_GRACE},
+    outlook::PlaceOutlook,
     request::{PlacedRequest, PromptPart},
     table::{PlaceChoice, PlacementTable},
     work::WorkTicket,
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -7,8 +7,9 @@
 use crate::{
     ids::EndpointKey,
     place::{
-        EndpointSample, LoadRow, PlacedEndpoint, PlacedRequest, WorkTicket,
-        division::EndpointDivision, endpoint::EndpointState, part_homes::PartHomes,
+        EndpointSample, LoadRow, PlaceOutlook, PlacedEndpoint, PlacedRequest, WorkTicket,
+        cost::cost, division::EndpointDivision, endpoint::EndpointState, part_homes::PartHomes,
+        spread::spread,
     },
     reason::DecisionReason,
     route::mix,
@@ -18,19 +19,6 @@
 /// Time between looks whether the endpoints are divided as their work needs.
 const DIVIDE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Prompt tokens that delay a request as much as one request beside it.
-const REQUEST_WEIGHT: f64 = 250.0;
-
-/// Prompt tokens that one request waiting at the endpoint stands for.
-const WAITING_WEIGHT: f64 = 2_000.0;
-
-/// Cost of reading shared parts again, as a multiple of their tokens.
-const REREAD_WEIGHT: f64 = 100.0;
-
-/// Tokens of shared parts from which the cost of each grows with their number: the longer an
-/// endpoint reads, the more of its streams it delays for long.
-const SHORT_PART: f64 = 1_000.0;
-
 /// Share of all slots in use below which endpoints keep no room from long prompts.
 const CALM_SHARE: f64 = 0.3;
 
@@ -43,25 +31,6 @@
 /// there once and then kept.
 const SECOND_HOME: f64 = 0.05;
 
-/// Cost of sending a prompt token to another failure domain, in prompt tokens.
-const DISTANCE_WEIGHT: f64 = 0.3;
-
-/// Cost of sending any request to another failure domain, in prompt tokens.
-const DISTANCE_BASE: f64 = 400.0;
-
-/// Cost for a strict request of an endpoint that is not kept for its like, in prompt tokens.
-const STRICT_OUTSIDE: f64 = 20_000.0;
-
-/// Cost of an endpoint that is kept for strict classes for any other request, in prompt tokens.
-const REST_INSIDE: f64 = 2_000.0;
-
-/// Prompt tokens that an engine reads at a stretch without a pause that strict classes notice:
-/// three chunks.
-const PAUSE_TOKENS: f64 = 6_000.0;
-
-/// Cost of each further token beside strict streams, in prompt tokens.
-const PAUSE_WEIGHT: f64 = 8.0;
-
 /// Share of an endpoint's memory that running requests may take; shared parts and answers that
 /// turn out longer need the rest.
 const MEMORY_SHARE: f64 = 0.7;
@@ -203,13 +172,39 @@
             .filter(|(_, state, reread)| self.has_room(now, state, request, *reread, calm))
             .map(|(key, state, reread)| {
                 let order = (state.lapsed, state.rests(now));
-                (order, self.cost(now, state, request, reread), key)
+                (order, cost(now, state, request, reread, *state.spec.domain != *self.domain), key)
             })
             .min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("costs are numbers"));
         let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::QueueFull) };
         Ok(self.choice(now, endpoint, cost, request, homes.rank(endpoint)))
     }
 
+    /// Returns what speaks against the endpoints for a request that [`choose`] did not place.
+    ///
+    /// [`choose`]: PlacementTable::choose
+    pub fn outlook(&self, now: TimePoint, request: &PlacedRequest) -> PlaceOutlook {
+        let pool = self.pools.get(&request.service).map_or(&[][..], Vec::as_slice);
+        let mut outlook = PlaceOutlook { open: pool.len() as u32, ..PlaceOutlook::default() };
+        let mut least: Option<(f64, &EndpointState)> = None;
+        for state in pool.iter().map(|key| &self.endpoints[*key]) {
+            if state.is_down(now) {
+                outlook.down += 1;
+                continue;
+            }
+            outlook.short_of_memory += u32::from(!self.has_memory(now, state, request));
+            let load = state.load(now);
+            if least.is_none_or(|(known, _)| load < known) {
+                least = Some((load, state));
+            }
+        }
+        if let Some((load, state)) = least {
+            outlook.least_load = load as u32;
+            outlook.load_limit = request.load_limit(state.spec.slots, state.strict) as u32;
+            outlook.others_age = state.others.map(|(at, _)| now.since(at));
+        }
+        outlook
+    }
+
     fn choice(
         &self,
         now: TimePoint,
@@ -412,32 +407,6 @@
         }
     }
 
-    fn cost(
-        &self,
-        now: TimePoint,
-        state: &EndpointState,
-        request: &PlacedRequest,
-        reread: f64,
-    ) -> f64 {
-        let prompt = f64::from(request.prompt_tokens);
-        let ahead = state.prefill(now);
-        let work = ahead
-            + REQUEST_WEIGHT * state.load(now)
-            + WAITING_WEIGHT * f64::from(state.waiting(now));
-        let mixed = match (request.strict, state.strict) {
-            (true, false) => STRICT_OUTSIDE,
-            (false, true) => {
-                let unread = prompt - f64::from(request.shared_tokens()) + reread;
-                REST_INSIDE + PAUSE_WEIGHT * (ahead + unread - PAUSE_TOKENS).max(0.0)
-            }
-            _ => 0.0,
-        };
-        let far = *state.spec.domain != *self.domain;
-        let distance = if far { DISTANCE_BASE + DISTANCE_WEIGHT * prompt } else { 0.0 };
-        let length = f64::from(request.shared_tokens()).max(SHORT_PART) / SHORT_PART;
-        work + mixed + distance + REREAD_WEIGHT * reread * length
-    }
-
     /// Returns the endpoints that should hold the last shared part of a request.
     ///
     /// All entries agree on them without asking each other: they are the two that the part and the
@@ -500,28 +469,6 @@
     }
 }
 
-/// Returns endpoints in an order in which the first of each failure domain come first, then the
-/// second, and so on; within a domain by the hash of their names.
-fn spread(
-    endpoints: &SlotMap<EndpointKey, EndpointState>,
-    pool: &[EndpointKey],
-) -> Vec<EndpointKey> {
-    let mut by_hash = pool.to_vec();
-    by_hash.sort_unstable_by_key(|key| endpoints[*key].hash);
-    let mut seen: HashMap<&str, usize> = HashMap::new();
-    let mut order: Vec<(usize, u64, EndpointKey)> = by_hash
-        .into_iter()
-        .map(|key| {
-            let state = &endpoints[key];
-            let turn = seen.entry(&state.spec.domain).or_default();
-            *turn += 1;
-            (*turn, state.hash, key)
-        })
-        .collect();
-    order.sort_unstable_by_key(|row| (row.0, row.1));
-    order.into_iter().map(|(_, _, key)| key).collect()
-}
-
 /// Returns whether most slots of the endpoints are free.
 fn is_calm(now: TimePoint, endpoints: &[(EndpointKey, &EndpointState)]) -> bool {
     let slots: f64 = endpoints.iter().map(|(_, state)| f64::from(state.spec.slots)).sum();
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -246,6 +246,9 @@
         }
     };
     assert_eq!(refused, DecisionReason::QueueFull);
+    let outlook = table.outlook(NOW, &digest(1));
+    assert_eq!((outlook.open, outlook.down, outlook.short_of_memory), (4, 2, 0));
+    assert!(outlook.least_load >= outlook.load_limit, "{outlook:?}");
     assert!(!used.contains_key("e0") && !used.contains_key("e1"), "{used:?}");
 }
 
