--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use pimentorock_kernel::{
     ids::EndpointKey,
-    place::{PlaceChoice, PlaceOutlook, PlacedRequest, WorkTicket},
+    place::{PlaceChoice, PlaceOutlook, PlacedRequest, WorkTicket, urgency},
     reason::DecisionReason,
     request::RunOutcome,
     retry::{RetryCase, RetryDecision},
@@ -43,7 +43,8 @@
     pub(crate) body: Bytes,
     pub(crate) route: RouteSpec,
     pub(crate) account: Option<Box<str>>,
-    pub(crate) tier: Option<u8>,
+    /// How urgent it is to an endpoint, 0 first.
+    pub(crate) urgency: Option<u8>,
     pub(crate) last_event: Option<Box<str>>,
     pub(crate) placed: PlacedRequest,
     pub(crate) arrived: TimePoint,
@@ -69,7 +70,7 @@
             headers: parts.headers,
             body,
             account: None,
-            tier: route.tier,
+            urgency: urgency(route.tier, None),
             last_event: head.last_event,
             placed: PlacedRequest {
                 service,
@@ -88,7 +89,7 @@
     /// Sets the client account that the request runs for.
     pub(crate) fn with_account(mut self, name: Box<str>, tier: Option<u8>) -> CallerRequest {
         self.account = Some(name);
-        self.tier = tier.or(self.tier);
+        self.urgency = urgency(self.route.tier, tier);
         self
     }
 
@@ -451,7 +452,7 @@
             endpoint: &choice.name,
             account: request.account.as_deref(),
             time_left: request.time_left(),
-            tier: request.tier,
+            urgency: request.urgency,
             last_event,
         };
         let mut forwarded = Request::new(Full::new(request.body.clone()));
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -35,8 +35,8 @@
     pub account: Option<&'a str>,
     /// Time left for the answer.
     pub time_left: Duration,
-    /// Urgency at the endpoint; 0 is the highest.
-    pub tier: Option<u8>,
+    /// How urgent the request is, 0 first.
+    pub urgency: Option<u8>,
     /// The last event that the caller has, if the stream goes on from there.
     pub last_event: Option<&'a str>,
 }
--- a/crates/kernel/src/duty/holder.rs
+++ b/crates/kernel/src/duty/holder.rs
@@ -23,7 +23,7 @@
 /// One process's part in the duty of reporting usage.
 ///
 /// All time points must come from a clock that also counts while the host is suspended.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct DutyHolder {
     process: ProcessId,
     limits: DutyLimits,
--- a/crates/kernel/src/duty/limits.rs
+++ b/crates/kernel/src/duty/limits.rs
@@ -18,7 +18,7 @@
 const CLOSE_BEFORE_DUE: Duration = Duration::from_millis(3_500);
 
 /// Times of the duty, from what the deployment demands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct DutyLimits {
     /// Time after the start of its append for which a process may report.
     pub act_span: Duration,
--- a/crates/kernel/src/duty/record.rs
+++ b/crates/kernel/src/duty/record.rs
@@ -7,7 +7,7 @@
 use crate::ids::{FencingNumber, ProcessId};
 
 /// Final figures of one usage window.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClosedWindow {
     /// Number of the window.
     pub window: u64,
@@ -18,7 +18,7 @@
 /// Closes usage windows and claims or keeps the duty of reporting them.
 ///
 /// Each record holds all recent windows, so that the newest one is enough to go on from.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct DutyRecord {
     /// The process that may report.
     pub holder: ProcessId,
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -22,7 +22,7 @@
     endpoint::{EndpointSample, LoadRow, PlacedEndpoint},
     endpoint_book::{BookChange, EndpointBook, EndpointEntry, LAPSE_GRACE},
     outlook::PlaceOutlook,
-    request::{PlacedRequest, PromptPart},
+    request::{PlacedRequest, PromptPart, urgency},
     table::{PlaceChoice, PlacementTable},
     work::WorkTicket,
 };
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -69,3 +69,19 @@
         self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 }
+
+/// Least urgent value of [`urgency`].
+const LEAST_URGENT: u8 = 9;
+
+/// Returns how urgent a request is to an endpoint, 0 first, by the tiers of its class and of its
+/// client account.
+///
+/// No request is stopped for one of a class of a lower tier, whoever sent it; within a tier, an
+/// account that is as urgent as the class goes before others.
+pub fn urgency(class: Option<u8>, account: Option<u8>) -> Option<u8> {
+    let Some(class) = class else {
+        return account.map(|account| account.saturating_mul(2).min(LEAST_URGENT));
+    };
+    let behind = u8::from(account.is_none_or(|account| account > class));
+    Some(class.saturating_mul(2).saturating_add(behind).min(LEAST_URGENT))
+}
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -6,7 +6,7 @@
     ids::EndpointKey,
     place::{
         LoadRow, PlacedEndpoint, PlacedRequest, PlacementTable, PromptPart, WorkTicket,
-        strict_pauses,
+        strict_pauses, urgency,
     },
     reason::DecisionReason,
     time::TimePoint,
@@ -305,3 +305,29 @@
     table.put(endpoint("e0", "a"));
     assert!(names(&mut table).iter().any(|name| &**name == "e0"));
 }
+
+#[test]
+fn classes_come_before_accounts_in_urgency() {
+    // Tier of the class and of the account, if any, and the urgency.
+    let cases = [
+        (Some(0), None, Some(1)),
+        (Some(0), Some(0), Some(0)),
+        (Some(0), Some(1), Some(1)),
+        (Some(1), Some(1), Some(2)),
+        (Some(2), Some(1), Some(4)),
+        (Some(2), None, Some(5)),
+        (Some(200), Some(255), Some(9)),
+        (None, Some(1), Some(2)),
+        (None, None, None),
+    ];
+    for (class, account, expected) in cases {
+        assert_eq!(urgency(class, account), expected, "{class:?} {account:?}");
+    }
+    // No account makes a class more urgent than one of a higher tier.
+    for class in 0..4 {
+        for accounts in (0..6).flat_map(|one| (0..6).map(move |other| (one, other))) {
+            let (one, other) = (Some(accounts.0), Some(accounts.1));
+            assert!(urgency(Some(class), one) < urgency(Some(class + 1), other));
+        }
+    }
+}
