--- a/crates/kernel/src/hub/peak_count.rs
+++ b/crates/kernel/src/hub/peak_count.rs
@@ -21,7 +21,7 @@
         PeakCount::default()
     }
 
-    /// Takes a count and returns the highest of the last [`KEEP_SPAN`].
+    /// Takes a count and returns the highest of the last 30 s.
     pub fn note(&mut self, now: TimePoint, count: u32) -> u32 {
         while self.recent.back().is_some_and(|(_, known)| *known <= count) {
             self.recent.pop_back();
