--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -35,7 +35,7 @@
 const DUTY_KEY: &str = "usage";
 
 impl GatewayState {
-    /// Returns what this entry and those that ask it counted, as far as it is due to be shared.
+    /// Returns the counts of this entry and of its askers that the hub does not have yet.
     pub(crate) fn due_shares(&self) -> Vec<EntryShare> {
         let own = self.due_share();
         let view = self.view();
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -152,7 +152,7 @@
             endpoints_next: view.endpoints_next,
             wall_ms: self.own_wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
             wants_entries,
-            entries: if wants_entries { view.roster.told_to(now, "") } else { Vec::new() },
+            entries: if wants_entries { view.roster.listed_to(now, "") } else { Vec::new() },
         }
     }
 
@@ -183,9 +183,10 @@
             load: view.board.outside(now, &report.process, &own),
             strict_counts,
             wall_ms: self.wall_ms(),
-            entries: match report.wants_entries {
-                true => view.roster.told_to(now, &report.domain),
-                false => Vec::new(),
+            entries: if report.wants_entries {
+                view.roster.listed_to(now, &report.domain)
+            } else {
+                Vec::new()
             },
         }
     }
--- a/crates/kernel/src/hub/roster.rs
+++ b/crates/kernel/src/hub/roster.rs
@@ -25,8 +25,8 @@
 /// the store itself.
 const STORE_AGE_BASE: Duration = Duration::from_millis(800);
 
-/// Entries of each failure domain that all others are told of: its hub and who comes next.
-const TOLD_OF_DOMAIN: usize = 3;
+/// Entries of each failure domain that are listed to all others: its hub and its successors.
+const LISTED_OF_DOMAIN: usize = 3;
 
 /// Returns the time between two exchanges of an entry whose hub is asked by `askers`.
 pub fn exchange_period(askers: usize) -> Duration {
@@ -151,9 +151,9 @@
         others.get(turn % others.len().max(1)).copied()
     }
 
-    /// Returns what an entry of `domain` has to know of others: all of its own failure domain, and
-    /// the first few of each other one.
-    pub fn told_to(&self, now: TimePoint, domain: &str) -> Vec<EntrySighting> {
+    /// Returns the entries to list to one of `domain`: all of that failure domain, and the first few
+    /// of each other one.
+    pub fn listed_to(&self, now: TimePoint, domain: &str) -> Vec<EntrySighting> {
         let mut told: BTreeMap<Option<&str>, usize> = BTreeMap::new();
         let own = (self.own, Some(&*self.domain), 0);
         let others = self.rows.iter().filter(|(_, row)| row.is_fresh(now)).map(|(address, row)| {
@@ -164,7 +164,7 @@
         known.retain(|(_, of, _)| {
             let count = told.entry(*of).or_default();
             *count += 1;
-            *of == Some(domain) || *count <= TOLD_OF_DOMAIN
+            *of == Some(domain) || *count <= LISTED_OF_DOMAIN
         });
         let sightings = known.into_iter().map(|(address, domain, age_ms)| EntrySighting {
             address,
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -157,7 +157,7 @@
             .filter(|key| !excluded.contains(key))
             .map(|key| (*key, &self.endpoints[*key]))
             .collect();
-        // One that is down looks idle. It is no way out while others are full.
+        // A down endpoint looks idle, so it must not be chosen when the others are merely full.
         if open.iter().any(|(_, state)| !state.is_down(now)) {
             open.retain(|(_, state)| !state.is_down(now));
         }
--- a/crates/kernel/tests/hub.rs
+++ b/crates/kernel/tests/hub.rs
@@ -88,7 +88,7 @@
     let roster = roster(3, &[1]);
     let later = NOW + Duration::from_secs(6);
     assert_eq!(roster.hub(later), HubChoice::Own);
-    assert_eq!(roster.told_to(later, "b"), [sighting(3, "b")]);
+    assert_eq!(roster.listed_to(later, "b"), [sighting(3, "b")]);
 }
 
 #[test]
@@ -97,23 +97,23 @@
     let mut now = NOW;
     for step in 0..100 {
         now = now + Duration::from_millis(100);
-        let told = rosters[step % 2].told_to(now, "a");
+        let told = rosters[step % 2].listed_to(now, "a");
         told.iter().for_each(|entry| rosters[(step + 1) % 2].note_sighting(now, entry));
         let own = [sighting(1, "a"), sighting(2, "a")];
         rosters[0].note_sighting(now, &own[1]);
         rosters[1].note_sighting(now, &own[0]);
     }
-    assert_eq!(rosters[0].told_to(now, "a"), [sighting(1, "a"), sighting(2, "a")]);
+    assert_eq!(rosters[0].listed_to(now, "a"), [sighting(1, "a"), sighting(2, "a")]);
 }
 
 #[test]
-fn an_entry_is_told_of_its_whole_domain_and_of_the_first_few_of_others() {
+fn an_entry_gets_a_list_of_its_whole_domain_and_of_the_first_few_of_others() {
     let mut roster = HubRoster::new(address(1), "a");
     for host in 2..=40 {
         roster.note_sighting(NOW, &sighting(host, ["a", "b", "c", "d"][usize::from(host % 4)]));
     }
     let counts = |domain: &str| {
-        let told = roster.told_to(NOW, domain);
+        let told = roster.listed_to(NOW, domain);
         let of = |domain: &str| told.iter().filter(|e| e.domain.as_deref() == Some(domain)).count();
         ["a", "b", "c", "d"].map(of)
     };
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -233,7 +233,7 @@
 }
 
 #[test]
-fn an_endpoint_that_is_down_is_no_way_out_while_the_others_are_full() {
+fn a_down_endpoint_is_not_chosen_while_the_others_are_full() {
     let mut table = table_with_down(4, &[0, 1]);
     let mut used = HashMap::new();
     let refused = loop {
