Keep a run that left out although the store listed it later than its answer

Cause: an endpoint that returns under its former name is told apart by its start time, which only the store states. When the answer of the new run came before the store's record of it (the store was silent for 1.3 s), the notice was kept for the run before, and the record of the new run ended it. Class: a fact that arrives with an answer was tied to what the store said at that time.

A notice now also covers every run that had started before the notice came.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -401,12 +401,14 @@
     ) {
         let now = clock::now();
         let (name, started_ms) = (&*instance.name, instance.started_ms);
-        let Some(until) = self.table().note_notice(now, name, started_ms, notice) else { return };
+        let noted_ms = self.wall_ms();
+        let noted = self.table().note_notice(now, noted_ms, name, started_ms, notice);
+        let Some(until) = noted else { return };
         let span = (until != TimePoint::FAR).then(|| now.until(until).as_millis() as u64);
         log::info!(
             target: part::REQUEST,
             request = request, endpoint = name, cause = notice.label(),
-            until_ms = span.map_or(-1, |span| (self.wall_ms() + span) as i64);
+            until_ms = span.map_or(-1, |span| (noted_ms + span) as i64);
             "endpoint excluded"
         );
         self.metrics.note_exclusion(notice.label());
--- a/crates/kernel/src/place/exclusion.rs
+++ b/crates/kernel/src/place/exclusion.rs
@@ -48,9 +48,12 @@
 /// The exclusion of one run of an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct ExcludedRun {
-    /// Wall-clock time at which the run started, in milliseconds since 1970, if known.
+    /// Wall-clock time at which the run started that was known when the notice came, in milliseconds
+    /// since 1970, if known.
     started_ms: Option<u64>,
     noted_at: TimePoint,
+    /// Wall-clock time of the notice, in milliseconds since 1970.
+    noted_ms: u64,
     /// Time from which the run gets requests again; [`TimePoint::FAR`] if it leaves.
     until: TimePoint,
 }
@@ -58,8 +61,10 @@
 /// Tracks which endpoints get no requests because they asked for it.
 ///
 /// A notice holds for the run of the endpoint that gave it, whatever the platform's store says of
-/// that run, and ends when the store lists another run under the same name. It survives the removal
-/// of the endpoint's record, since the same record may be written again.
+/// that run, and ends when the store lists a run under the same name that started after the notice.
+/// A run that started before may have given the notice although the store listed an earlier run at
+/// that time. A notice survives the removal of the endpoint's record, since the same record may be
+/// written again.
 #[derive(Clone, Debug, Default)]
 pub struct ExclusionTable {
     runs: HashMap<Box<str>, ExcludedRun>,
@@ -71,13 +76,15 @@
         ExclusionTable::default()
     }
 
-    /// Applies a notice of the run of the endpoint `name` that started at `started_ms`.
+    /// Applies a notice that the endpoint `name` gave at the wall-clock time `noted_ms`, when its
+    /// newest known run was the one that started at `started_ms`.
     ///
     /// Returns the time from which the run gets requests again, or `None` if the notice does not
     /// prolong an exclusion.
     pub fn note(
         &mut self,
         now: TimePoint,
+        noted_ms: u64,
         name: &str,
         started_ms: Option<u64>,
         notice: EndpointNotice,
@@ -87,18 +94,24 @@
             return None;
         }
         self.runs.retain(|_, run| run.is_remembered(now));
-        self.runs.insert(name.into(), ExcludedRun { started_ms, noted_at: now, until });
+        self.runs.insert(name.into(), ExcludedRun { started_ms, noted_at: now, noted_ms, until });
         Some(until)
     }
 
     /// Returns the time from which a run of an endpoint gets requests.
     pub fn until(&self, name: &str, started_ms: Option<u64>) -> TimePoint {
-        let run = self.runs.get(name).filter(|run| run.started_ms == started_ms);
+        let run = self.runs.get(name).filter(|run| run.covers(started_ms));
         run.map_or(TimePoint::ZERO, |run| run.until)
     }
 }
 
 impl ExcludedRun {
+    /// Reports whether the run that started at `started_ms` may have given the notice.
+    fn covers(&self, started_ms: Option<u64>) -> bool {
+        let is_earlier = started_ms.is_some_and(|started_ms| started_ms <= self.noted_ms);
+        started_ms == self.started_ms || (is_earlier && self.started_ms.is_some())
+    }
+
     fn is_remembered(&self, now: TimePoint) -> bool {
         match self.until {
             TimePoint::FAR => now.since(self.noted_at) < LEFT_MEMORY,
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -106,18 +106,20 @@
         key
     }
 
-    /// Applies a notice that the run of an endpoint which started at `started_ms` gave in an answer.
+    /// Applies a notice that an endpoint gave in an answer at the wall-clock time `noted_ms`, when its
+    /// newest known run was the one that started at `started_ms`.
     ///
     /// Returns the time from which the run gets requests again, or `None` if the notice changes
     /// nothing.
     pub fn note_notice(
         &mut self,
         now: TimePoint,
+        noted_ms: u64,
         name: &str,
         started_ms: Option<u64>,
         notice: EndpointNotice,
     ) -> Option<TimePoint> {
-        let until = self.exclusions.note(now, name, started_ms, notice)?;
+        let until = self.exclusions.note(now, noted_ms, name, started_ms, notice)?;
         let state = self.names.get(name).and_then(|key| self.endpoints.get_mut(*key));
         if let Some(state) = state.filter(|state| state.spec.started_ms == started_ms) {
             state.excluded_until = until;
