Write crash records again at once after the store lost them

Cause: the root hub compared its records with the store only if they had changed, or every 10 s. Entering an era changed neither, and as long as the topic was not read again, no record counted as missing, so the next comparison came up to 10 s later.

The write is due in each new era, and nothing counts as written before the topic was read. Red before: crash_records_are_written_again_at_once_after_the_store_lost_them (9.3 s against 3 s).

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -61,10 +61,21 @@
     }
 }
 
+/// State of this entry and the store when the store last lacked no suspects.
+#[derive(Clone, Copy, Debug, Default)]
+struct WrittenState {
+    /// Position in the changes of this entry's suspects.
+    position: LedgerPosition,
+    /// Era of the store. A store that came back from an older copy may have lost the suspects.
+    era: u64,
+    /// Time of the last write that included changes which no process would miss.
+    tidied_at: TimePoint,
+}
+
 /// Writes the suspects to the store as long as this entry reads the store on behalf of others and
 /// until `stop` is cancelled; writes them once more after `stop`.
 pub(crate) async fn publish_suspects(state: Arc<GatewayState>, stop: CancellationToken) {
-    let mut written = (TimePoint::ZERO, LedgerPosition::default());
+    let mut written = WrittenState::default();
     let mut stopping = false;
     while !stopping {
         tokio::select! {
@@ -73,26 +84,30 @@
         }
         let now = clock::now();
         let position = state.suspects().position();
-        let is_due = position != written.1 || now.since(written.0) >= TIDY_PERIOD;
+        let era = state.view().era;
+        let tidies = stopping || now.since(written.tidied_at) >= TIDY_PERIOD;
+        let is_due = position != written.position || era != written.era || tidies;
         if !is_due || state.roster().hub(now) != HubChoice::Own {
             continue;
         }
         state.metrics.note_suspects(state.suspects().table().len());
-        let tidies = stopping || now.since(written.0) >= TIDY_PERIOD;
         if write_pending(&state, now, tidies).await {
-            let at = if tidies { now } else { written.0 };
-            written = (at, position);
+            let tidied_at = if tidies { now } else { written.tidied_at };
+            written = WrittenState { position, era, tidied_at };
         }
     }
 }
 
-/// Writes the suspects that the store lacks; returns whether it lacks none of them now.
+/// Writes the suspects that the store lacks; returns whether it is known to lack none of them.
 ///
 /// Changes that no process would miss are written only if `tidies` is true or if there are others.
 async fn write_pending(state: &GatewayState, now: TimePoint, tidies: bool) -> bool {
     let era = state.view().era;
     let pending = {
         let archive = state.archive();
+        if !archive.is_read() {
+            return false;
+        }
         let pending = archive.pending(now, state.wall_ms(), &state.suspects());
         let is_urgent = pending.iter().any(|suspect| archive.is_urgent(suspect));
         if tidies || is_urgent { pending } else { Vec::new() }
--- a/crates/kernel/src/suspect/archive.rs
+++ b/crates/kernel/src/suspect/archive.rs
@@ -109,6 +109,11 @@
         self.stored = None;
     }
 
+    /// Reports whether it is known what the log holds.
+    pub fn is_read(&self) -> bool {
+        self.stored.is_some()
+    }
+
     /// Returns the requests whose records in the log differ from those in `ledger`; none until the
     /// log was read.
     ///
