Cut off responses whose bytes have no end

A caller that paused for 4 s while it read lost its answer.

Cause: only whole heads and buffered bodies had bounds, each by itself, and none on pace; frames were counted by bytes only; the timeout that finds dead servers was set on callers' connections too.

The stream below HTTP now follows the bytes of each response (MeteredStream) and judges them by number, pace and frames (kernel answer::AnswerProgress); all held messages share a quarter of the process's memory, and the largest incomplete one is dropped first (answer::BufferLedger, compared with a naive list). Events end the count, comments do not and are held back.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -2,6 +2,9 @@
 
 // These modules are shared with the tests of `platform/`, which use more of their functions.
 #[allow(dead_code)]
+#[path = "../../../platform/tests/hosted/endless_bytes.rs"]
+mod endless_bytes;
+#[allow(dead_code)]
 #[path = "../../../platform/tests/hosted/fake_platform.rs"]
 mod fake_platform;
 #[allow(dead_code)]
--- a/crates/gateway/src/acceptor.rs
+++ b/crates/gateway/src/acceptor.rs
@@ -10,9 +10,11 @@
 /// Pause after a failed `accept`; most failures are a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Passes each accepted connection to `handle` until `stop` is cancelled.
+/// Passes each accepted connection to `handle` until `stop` is cancelled. A connection whose peer
+/// reads nothing for the time `unread` is closed.
 pub(crate) async fn accept_connections(
     listener: TcpListener,
+    unread: Duration,
     stop: CancellationToken,
     handle: impl Fn(TcpStream),
 ) {
@@ -23,7 +25,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                if let Err(error) = connection::configure_socket(&stream) {
+                if let Err(error) = connection::configure_socket(&stream, unread) {
                     let error = error.to_string();
                     log::warn!(
                         target: part::CALLERS, error = error;
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri, request};
 use pimentorock_kernel::{
     place::{PlacedRequest, urgency},
@@ -10,16 +9,16 @@
     time::TimePoint,
 };
 
-use crate::{clock, fleet_config::RouteSpec, wire::CallerHead};
+use crate::{clock, fleet_config::RouteSpec, message_buffers::HeldMessage, wire::CallerHead};
 
 /// A caller's request with its complete body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) id: Box<str>,
     pub(crate) method: Method,
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldMessage,
     pub(crate) route: RouteSpec,
     pub(crate) account: Option<Box<str>>,
     /// Urgency at the endpoint; 0 is the most urgent, `None` stands for a request without any tier.
@@ -35,7 +34,7 @@
     /// Returns a request that matched `route` and is served by `service`.
     pub(crate) fn new(
         parts: request::Parts,
-        body: Bytes,
+        body: HeldMessage,
         head: CallerHead,
         route: RouteSpec,
         service: Box<str>,
@@ -79,7 +78,7 @@
     /// repeats.
     pub(crate) fn fingerprint(&self) -> u64 {
         let path = self.target.path_and_query().map_or("", |path| path.as_str());
-        fingerprint(&[self.account.as_deref().unwrap_or_default(), path], &self.body)
+        fingerprint(&[self.account.as_deref().unwrap_or_default(), path], &self.body.bytes)
     }
 
     /// Returns the time left until the deadline.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
@@ -25,10 +25,11 @@
 use crate::{
     acceptor::accept_connections,
     caller_request::CallerRequest,
-    clock,
+    clock, connection,
     dispatcher::RequestDispatcher,
     fleet_config::{CallerLimits, RouteSpec},
     logs::part,
+    message_buffers::{HeldMessage, MessageBuffer},
     relay::{self, CallerBody, empty_response},
     route_table::RouteTable,
     state::GatewayState,
@@ -45,8 +46,9 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Delay in the retry header while the entry has no configuration or does not know the suspects yet.
-const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Delay in the retry header while the entry has no configuration, does not know the suspects yet, or
+/// has no memory left for messages.
+const UNPREPARED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Maximum number of connections in the accept queue of a listening socket.
 pub(crate) const LISTEN_BACKLOG: u32 = 1024;
@@ -91,7 +93,7 @@
     let spawn_connection = |stream| {
         tracker.spawn(serve_connection(Arc::clone(&state), stream, stop.clone()));
     };
-    accept_connections(listener, stop.clone(), spawn_connection).await;
+    accept_connections(listener, connection::CALLER_TIMEOUT, stop.clone(), spawn_connection).await;
 }
 
 async fn serve_connection(state: Arc<GatewayState>, stream: TcpStream, stop: CancellationToken) {
@@ -214,9 +216,11 @@
         return reject(state, &head.id, status, "unknown key", routes.version());
     }
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
-    let body = match read_body(body, routes.limits(), time_left).await {
+    let buffer = state.buffers.buffer();
+    let body = match read_body(body, routes.limits(), time_left, buffer).await {
         Ok(body) => body,
-        Err(status) => {
+        Err(BodyFault::Evicted) => return reject_evicted(state, &head.id),
+        Err(BodyFault::Rejected(status)) => {
             let version = routes.version();
             return reject(state, &head.id, status, "body not read", version);
         }
@@ -252,28 +256,72 @@
     route.services.first().map(|(name, _)| name.clone()).unwrap_or_default()
 }
 
+/// Why the body of a request was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyFault {
+    /// The body breaks a limit or did not arrive; the status tells which.
+    Rejected(StatusCode),
+    /// Messages need more memory than they may have.
+    Evicted,
+}
+
 async fn read_body(
     body: Incoming,
     limits: CallerLimits,
     time_left: Duration,
-) -> Result<Bytes, StatusCode> {
+    buffer: MessageBuffer,
+) -> Result<HeldMessage, BodyFault> {
     if body.size_hint().lower() > limits.body_bytes as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        return Err(BodyFault::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let reading = Limited::new(body, limits.body_bytes).collect();
+    let reading = collect_body(Limited::new(body, limits.body_bytes), buffer);
     match tokio::time::timeout(time_left, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        Ok(read) => read,
+        Err(_) => Err(BodyFault::Rejected(StatusCode::REQUEST_TIMEOUT)),
+    }
+}
+
+async fn collect_body(
+    mut body: Limited<Incoming>,
+    mut buffer: MessageBuffer,
+) -> Result<HeldMessage, BodyFault> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = buffer.evicted() => return Err(BodyFault::Evicted),
+        };
+        match frame {
+            None => return Ok(HeldMessage::new(bytes.freeze(), buffer)),
+            Some(Ok(frame)) => {
+                bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+                buffer.resize(bytes.capacity());
+            }
+            Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(BodyFault::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
+            }
+            Some(Err(_)) => return Err(BodyFault::Rejected(StatusCode::BAD_REQUEST)),
         }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
 
+/// Refuses a request whose body does not fit into the memory for messages.
+fn reject_evicted(state: &GatewayState, id: &Option<Box<str>>) -> Response<CallerBody> {
+    log::warn!(
+        target: part::REQUEST,
+        request = id.as_deref().unwrap_or("none"), used_bytes = state.buffers.used();
+        "request refused: messages need more memory than they may have"
+    );
+    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    (state.codec.retry_after)(response.headers_mut(), UNPREPARED_RETRY_AFTER);
+    state.metrics.note_request("none", "refused");
+    response
+}
+
 fn reject_unconfigured(state: &GatewayState) -> Response<CallerBody> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-    (state.codec.retry_after)(response.headers_mut(), UNCONFIGURED_RETRY_AFTER);
+    (state.codec.retry_after)(response.headers_mut(), UNPREPARED_RETRY_AFTER);
     state.metrics.note_request("none", "refused");
     response
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,6 +8,7 @@
     io::ErrorKind,
     net::SocketAddr,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -21,15 +22,22 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use pimentorock_kernel::answer::AnswerLimits;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
+use crate::metered_stream::{EndlessResponse, MAX_HEAD_BYTES, MeteredStream, ResponseMeter};
+
 /// Maximum time to open a connection. Hosts of a region are about a millisecond apart, and TCP
 /// retransmits a lost first packet only after a second.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time after which a connection with unacknowledged bytes is closed.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which a connection to a server whose bytes are not acknowledged, or not read, is closed.
+pub const SERVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time after which a connection to a caller whose bytes are not acknowledged, or not read, is closed.
+/// A caller may pause while it reads a long response.
+pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Idle time after which the first keepalive probe is sent.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
@@ -37,9 +45,6 @@
 /// Time between keepalive probes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Maximum size of a response head in bytes.
-const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
-
 /// Why a request got no response.
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
@@ -56,12 +61,15 @@
     /// The connection was closed after bytes of the request may have been sent.
     #[error("lost: {0}")]
     Lost(hyper::Error),
+    /// The head of the response has no end.
+    #[error("{0}")]
+    Endless(EndlessResponse),
 }
 
 impl ConnectionError {
     /// Reports whether no byte of the request left this host.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, ConnectionError::Lost(_))
+        !matches!(self, ConnectionError::Lost(_) | ConnectionError::Endless(_))
     }
 }
 
@@ -69,6 +77,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
+    meter: Arc<ResponseMeter>,
     task: AbortHandle,
     used: Instant,
     idle_limit: Option<Duration>,
@@ -91,10 +100,12 @@
             Ok(Err(error)) => return Err(ConnectionError::Connect(error.to_string().into())),
             Err(_) => return Err(ConnectionError::Connect("timed out".into())),
         };
-        configure_socket(&stream)
+        configure_socket(&stream, SERVER_TIMEOUT)
             .map_err(|error| ConnectionError::Connect(error.to_string().into()))?;
+        let meter = Arc::new(ResponseMeter::default());
+        let stream = MeteredStream::new(stream, Arc::clone(&meter));
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(ConnectionError::Unsent)?;
@@ -104,7 +115,7 @@
             }
         });
         let task = task.abort_handle();
-        Ok(HttpConnection { sender, task, used: Instant::now(), idle_limit: None })
+        Ok(HttpConnection { sender, meter, task, used: Instant::now(), idle_limit: None })
     }
 
     /// Reports whether a request can be sent now.
@@ -137,26 +148,61 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection is closed before the head arrives; the error states whether any byte
-    /// of the request may have been sent.
+    /// Fails if the connection is closed before the head arrives, or if the head has no end; the
+    /// error states whether any byte of the request may have been sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ConnectionError> {
         self.used = Instant::now();
         if let Err(error) = self.sender.ready().await {
             return Err(ConnectionError::Unsent(error));
         }
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
-            match failed.take_message() {
-                Some(_) => ConnectionError::Unsent(failed.into_error()),
-                None => ConnectionError::Lost(failed.into_error()),
+        let meter = Arc::clone(&self.meter);
+        hyper::ext::on_informational(&mut request, move |_| meter.note_provisional());
+        self.meter.begin();
+        let sent = self.sender.try_send_request(request).await;
+        self.meter.end_head();
+        sent.map_err(|mut failed| match (failed.take_message(), self.meter.fault()) {
+            (Some(_), _) => ConnectionError::Unsent(failed.into_error()),
+            (None, Some(fault)) => ConnectionError::Endless(fault),
+            (None, None) => {
+                let error = failed.into_error();
+                match error.is_parse_too_large() {
+                    true => ConnectionError::Endless(EndlessResponse::LongHead {
+                        bytes: MAX_HEAD_BYTES,
+                    }),
+                    false => ConnectionError::Lost(error),
+                }
             }
         })
     }
 
+    /// Limits the body of the response whose head has arrived. A body without end fails as if its
+    /// connection was closed, and [`endless`](HttpConnection::endless) tells the reason.
+    pub fn limit_body(&self, limits: AnswerLimits) {
+        self.meter.limit_body(limits);
+    }
+
+    /// Notes a frame of the body, and reports whether the body may go on.
+    pub fn note_frame(&self) -> bool {
+        self.meter.note_frame()
+    }
+
+    /// Notes that a part of the body was complete in itself, such as an event; the limits apply to
+    /// each part.
+    pub fn complete_part(&self) {
+        self.meter.complete_part();
+    }
+
+    /// Returns why the connection was closed, if its bytes had no end.
+    pub fn endless(&self) -> Option<EndlessResponse> {
+        self.meter.fault()
+    }
+
     /// Restarts the idle time; called when the last response was read to its end.
     pub fn touch(&mut self) {
+        self.meter.end();
         self.used = Instant::now();
     }
 }
@@ -169,17 +215,17 @@
 }
 
 /// Disables Nagle's algorithm, and sets the keepalive and user timeouts that close a connection
-/// whose peer no longer answers.
+/// whose peer no longer answers, or reads nothing for the time `unread`.
 ///
 /// # Errors
 ///
 /// Fails if the operating system rejects an option.
-pub fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
+pub fn configure_socket(stream: &TcpStream, unread: Duration) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
     let keepalive = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_PERIOD);
     socket.set_tcp_keepalive(&keepalive.with_retries(2))?;
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unread))
 }
 
 /// The body of a response, together with the connection that it is read from.
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -18,12 +18,13 @@
 use crate::{
     caller_request::CallerRequest,
     clock,
-    connection::{ConnectionBody, HttpConnection},
+    connection::{ConnectionBody, ConnectionError, HttpConnection},
     crash_checks::{self, EndpointInstance},
     dispatch_failure::{DispatchFailure, MIN_RETRY_AFTER},
     endpoint_response::EndpointResponse,
     fleet_config::RouteKind,
     logs::part,
+    metered_stream::EndlessResponse,
     send_outcome::SendOutcome,
     state::GatewayState,
     wire::{ForwardSpec, ResponseHead},
@@ -332,6 +333,17 @@
         crash_checks::note_lost_run(&self.state, instance, self.fingerprint);
     }
 
+    /// Logs and counts bytes without end in a response.
+    pub(crate) fn note_endless(&self, instance: &EndpointInstance, endless: EndlessResponse) {
+        log::warn!(
+            target: part::REQUEST,
+            request = &*self.request.id, endpoint = &*instance.name, part = endless.part(),
+            bytes = endless.bytes(), reason = endless.to_string();
+            "response without end cut off"
+        );
+        self.state.metrics.note_endless(endless.part());
+    }
+
     /// Notes that the request completed at an endpoint, so that it cannot have crashed others.
     pub(crate) fn note_completed(&self) {
         self.state.suspects().note_completed(clock::now(), self.fingerprint);
@@ -387,6 +399,9 @@
             }
             Ok(Err(error)) if error.is_unsent() => SendOutcome::Unreached(error.to_string().into()),
             Ok(Err(error)) => {
+                if let ConnectionError::Endless(endless) = error {
+                    self.note_endless(&work.instance, endless);
+                }
                 let reason = error.to_string();
                 self.note_lost_run(choice.endpoint, &work.instance, "head", &reason);
                 SendOutcome::Lost(reason.into())
@@ -473,7 +488,7 @@
             urgency: request.urgency,
             last_event,
         };
-        let mut forwarded = Request::new(Full::new(request.body.clone()));
+        let mut forwarded = Request::new(Full::new(request.body.bytes.clone()));
         *forwarded.method_mut() = request.method.clone();
         *forwarded.uri_mut() = request.target.clone();
         *forwarded.headers_mut() = (self.state.codec.request_headers)(&request.headers, &spec);
--- a/crates/gateway/src/fleet_config.rs
+++ b/crates/gateway/src/fleet_config.rs
@@ -41,6 +41,9 @@
     pub kind: RouteKind,
     /// Maximum time from the arrival of a request to the end of its response.
     pub timeout: Duration,
+    /// Time within which the response, or the first event of a stream, is on time; `None` if the route
+    /// has no such target.
+    pub latency_target: Option<Duration>,
     /// Maximum pause between two events of a stream that meets its target; `None` if the route has
     /// no such target.
     pub pause_target: Option<Duration>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,8 @@
 mod follow;
 pub mod log_queue;
 mod logs;
+mod message_buffers;
+mod metered_stream;
 mod metrics;
 mod peer;
 pub mod process;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     requests: Counter<u64>,
     sends: Counter<u64>,
     lost_runs: Counter<u64>,
+    endless_responses: Counter<u64>,
     crash_checks: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
     refused_suspects: Counter<u64>,
@@ -49,6 +50,7 @@
             requests: meter.u64_counter("requests").build(),
             sends: meter.u64_counter("sends").build(),
             lost_runs: meter.u64_counter("lost_runs").build(),
+            endless_responses: meter.u64_counter("endless_responses").build(),
             crash_checks: meter.u64_counter("crash_checks").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             refused_suspects: meter.u64_counter("refused_suspects").build(),
@@ -81,6 +83,11 @@
         self.lost_runs.add(1, &[KeyValue::new("phase", phase)]);
     }
 
+    /// Counts a response that was cut off because its `part` has no end.
+    pub(crate) fn note_endless(&self, part: &'static str) {
+        self.endless_responses.add(1, &[KeyValue::new("part", part)]);
+    }
+
     /// Counts a check of an endpoint that lost runs, with its verdict.
     pub(crate) fn note_crash_check(&self, verdict: &'static str) {
         self.crash_checks.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -19,13 +19,20 @@
     tokio_serde::formats::Bincode,
 };
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
+use tokio_util::{
+    codec::{LengthDelimitedCodec, length_delimited::Builder},
+    sync::CancellationToken,
+};
 
 use crate::{
     acceptor::accept_connections, clock, connection, logs::part, state::GatewayState,
     store::StoreRecord,
 };
 
+/// Maximum size of one report or update in bytes. An update with the records of some thousand
+/// endpoints has about a megabyte.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
 /// Maximum time for one exchange with a peer, including the time to connect.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -164,7 +171,7 @@
     stop: CancellationToken,
 ) {
     let spawn_server = |stream| {
-        let framed = LengthDelimitedCodec::builder().new_framed(stream);
+        let framed = frame_codec().new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let calls = BaseChannel::with_defaults(transport);
         let server = PeerServer { state: Arc::clone(&state) };
@@ -172,7 +179,7 @@
             tokio::spawn(call);
         }));
     };
-    accept_connections(listener, stop, spawn_server).await;
+    accept_connections(listener, connection::SERVER_TIMEOUT, stop, spawn_server).await;
 }
 
 /// Open connections to other entries, reused between calls.
@@ -259,10 +266,17 @@
     }
 }
 
+fn frame_codec() -> Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(MAX_MESSAGE_BYTES);
+    builder
+}
+
 async fn connect(address: SocketAddr) -> Result<GatewayPeerClient, String> {
     let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-    connection::configure_socket(&stream).map_err(|error| error.to_string())?;
-    let framed = LengthDelimitedCodec::builder().new_framed(stream);
+    connection::configure_socket(&stream, connection::SERVER_TIMEOUT)
+        .map_err(|error| error.to_string())?;
+    let framed = frame_codec().new_framed(stream);
     let transport = serde_transport::new(framed, Bincode::default());
     Ok(GatewayPeerClient::new(client::Config::default(), transport).spawn())
 }
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::{acceptor::accept_connections, state::GatewayState};
+use crate::{acceptor::accept_connections, connection, state::GatewayState};
 
 /// Path at which the metrics are served.
 const METRICS_PATH: &str = "/metrics";
@@ -24,7 +24,7 @@
     let spawn_connection = |stream| {
         tokio::spawn(serve_connection(Arc::clone(&state), stream));
     };
-    accept_connections(listener, stop, spawn_connection).await;
+    accept_connections(listener, connection::SERVER_TIMEOUT, stop, spawn_connection).await;
 }
 
 async fn serve_connection(state: Arc<GatewayState>, stream: TcpStream) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,20 +11,45 @@
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
-use pimentorock_kernel::time::TimePoint;
-use tokio::sync::mpsc;
+use pimentorock_kernel::{answer::AnswerLimits, time::TimePoint};
+use tokio::{sync::mpsc, time::Sleep};
 
 use crate::{
-    clock, dispatch_failure::DispatchFailure, dispatcher::RequestDispatcher,
-    endpoint_response::EndpointResponse, event_splitter::EventSplitter, fleet_config::RouteKind,
+    clock,
+    connection::ConnectionBody,
+    dispatch_failure::DispatchFailure,
+    dispatcher::RequestDispatcher,
+    endpoint_response::EndpointResponse,
+    event_splitter::EventSplitter,
+    fleet_config::{RouteKind, RouteSpec},
     logs::part,
+    message_buffers::{HeldMessage, MessageBuffer},
 };
 
 /// Number of stream frames that are buffered for a slow caller.
 const FRAME_BUFFER: usize = 8;
 
 /// Maximum size of a response that is buffered before it is sent to the caller, in bytes.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 << 20;
+const MAX_BUFFERED_RESPONSE_BYTES: u64 = 16 << 20;
+
+/// Maximum size of one event in bytes. An event holds a few tokens, or a short document.
+const MAX_EVENT_BYTES: u64 = 256 << 10;
+
+/// Minimum time for which bytes arrive a few at a time before they are taken for a trickle. TCP
+/// retransmits a lost packet within this time.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Number of latency targets, and of longest pauses, after which callers no longer wait for the rest
+/// of an answer that arrives a few bytes at a time.
+const TARGETS_WAITED: u32 = 4;
+const PAUSES_WAITED: u32 = 8;
+
+/// Time after which a caller gets the comments of a stream although no event follows, so that its
+/// connection is kept.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
+
+/// Size of the parts in which a complete response is handed to the caller's connection, in bytes.
+const PART_BYTES: usize = 64 << 10;
 
 /// Error that aborts the response to the caller, because the endpoint's response was incomplete.
 #[derive(Debug)]
@@ -41,8 +66,10 @@
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub(crate) enum CallerBody {
-    /// A complete body; `None` is an empty body.
-    Complete(Option<Bytes>),
+    /// No body.
+    Empty,
+    /// A complete body.
+    Complete(HeldMessage),
     /// A streamed body. An error in it closes the connection, so that the caller can detect the
     /// truncation.
     Stream(mpsc::Receiver<Result<Bytes, TruncatedResponse>>),
@@ -57,7 +84,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match &mut *self {
-            CallerBody::Complete(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            CallerBody::Empty => Poll::Ready(None),
+            CallerBody::Complete(message) => {
+                Poll::Ready(message.take_part(PART_BYTES).map(|part| Ok(Frame::data(part))))
+            }
             CallerBody::Stream(frames) => {
                 frames.poll_recv(cx).map(|frame| frame.map(|bytes| bytes.map(Frame::data)))
             }
@@ -65,14 +95,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, CallerBody::Complete(None))
+        match self {
+            CallerBody::Empty => true,
+            CallerBody::Complete(message) => message.bytes.is_empty(),
+            CallerBody::Stream(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            CallerBody::Complete(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            CallerBody::Empty => SizeHint::with_exact(0),
+            CallerBody::Complete(message) => SizeHint::with_exact(message.bytes.len() as u64),
             CallerBody::Stream(_) => SizeHint::default(),
         }
     }
@@ -115,7 +148,7 @@
     );
     let outcome = if failure.retry_after.is_some() { "refused" } else { "failed" };
     dispatcher.note_end(outcome);
-    let mut response = Response::new(CallerBody::Complete(None));
+    let mut response = Response::new(CallerBody::Empty);
     *response.status_mut() = failure.status;
     if let Some(span) = failure.retry_after {
         (dispatcher.state.codec.retry_after)(response.headers_mut(), span);
@@ -138,13 +171,18 @@
     note_start(dispatcher);
     work.started();
     let time_left = dispatcher.request.time_left();
-    let collected = match tokio::time::timeout(time_left, collect(&mut body)).await {
+    body.connection.limit_body(buffered_limits(&dispatcher.request.route));
+    let buffer = dispatcher.state.buffers.buffer();
+    let collected = match tokio::time::timeout(time_left, collect(&mut body, buffer)).await {
         Ok(collected) => collected,
         Err(_) => Err("the deadline passed within the answer".into()),
     };
-    let bytes = match collected {
-        Ok(bytes) => bytes,
+    let message = match collected {
+        Ok(message) => message,
         Err(reason) => {
+            if let Some(endless) = body.connection.endless() {
+                dispatcher.note_endless(&work.instance, endless);
+            }
             drop(body);
             return match dispatcher.await_retry_after_lost_response(&work, &reason).await {
                 Ok(()) => Err(None),
@@ -171,26 +209,63 @@
     );
     dispatcher.note_end(outcome);
     let headers = caller_headers(dispatcher, &parts.headers);
-    let mut response = Response::new(CallerBody::Complete((!bytes.is_empty()).then_some(bytes)));
+    let mut response = Response::new(CallerBody::Complete(message));
     *response.status_mut() = parts.status;
     *response.headers_mut() = headers;
     Ok(response)
 }
 
-async fn collect(body: &mut crate::connection::ConnectionBody) -> Result<Bytes, Box<str>> {
+/// Returns the limits of a response that is buffered.
+fn buffered_limits(route: &RouteSpec) -> AnswerLimits {
+    AnswerLimits { bytes: MAX_BUFFERED_RESPONSE_BYTES, patience: patience(route) }
+}
+
+/// Returns the limits of one event of a stream.
+fn event_limits(route: &RouteSpec) -> AnswerLimits {
+    AnswerLimits { bytes: MAX_EVENT_BYTES, patience: patience(route) }
+}
+
+/// Returns the time for which callers of `route` wait for the rest of an answer that has begun.
+fn patience(route: &RouteSpec) -> Duration {
+    let target = route.latency_target.unwrap_or_default() * TARGETS_WAITED;
+    let pause = route.pause_target.unwrap_or_default() * PAUSES_WAITED;
+    target.max(pause).max(MIN_PATIENCE)
+}
+
+/// Reads a body to its end.
+async fn collect(
+    body: &mut ConnectionBody,
+    mut buffer: MessageBuffer,
+) -> Result<HeldMessage, Box<str>> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string().into_boxed_str())?;
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-        if bytes.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return Err("the answer is too large".into());
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = buffer.evicted() => return Err(EVICTED.into()),
+        };
+        let data = match frame {
+            None => return Ok(HeldMessage::new(bytes.freeze(), buffer)),
+            Some(Ok(frame)) if body.connection.note_frame() => {
+                frame.into_data().unwrap_or_default()
+            }
+            Some(frame) => {
+                let endless = body.connection.endless().map(|endless| endless.to_string());
+                let broken = frame.err().map(|error| error.to_string());
+                return Err(endless.or(broken).unwrap_or_default().into());
+            }
+        };
+        bytes.extend_from_slice(&data);
+        buffer.resize(bytes.capacity());
+        if buffer.is_evicted() {
+            return Err(EVICTED.into());
         }
     }
-    Ok(bytes.freeze())
 }
 
+/// Reason for dropping the largest incomplete messages.
+const EVICTED: &str = "messages need more memory than they may have";
+
 fn millis(span: Duration) -> i64 {
     span.as_millis() as i64
 }
@@ -325,28 +400,55 @@
     }
 
     async fn relay_events(&mut self, response: &mut EndpointResponse) -> RelayEnd {
+        let limits = event_limits(&self.dispatcher.request.route);
+        response.body.connection.limit_body(limits);
         let mut splitter = EventSplitter::default();
+        let mut buffer = self.dispatcher.state.buffers.buffer();
         let time_left = self.dispatcher.request.time_left();
         let deadline = tokio::time::sleep(time_left);
         tokio::pin!(deadline);
         let mut first = true;
+        let mut forwarded_at = clock::now();
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.frames.closed() => return RelayEnd::CallerGone,
                 frame = response.body.frame() => frame,
+                () = buffer.evicted() => return RelayEnd::Broken(EVICTED.into()),
                 () = &mut deadline => return RelayEnd::DeadlinePassed,
             };
             let data = match frame {
-                None if splitter.pending().is_empty() => return RelayEnd::Complete,
-                None => return RelayEnd::Broken("it ended within an event".into()),
-                Some(Err(error)) => return RelayEnd::Broken(error.to_string().into()),
+                None if splitter.is_within_event() => {
+                    return RelayEnd::Broken("it ended within an event".into());
+                }
+                None => {
+                    return match splitter.take_blank() {
+                        Some(blank) => {
+                            self.forward(blank, deadline).await.unwrap_or(RelayEnd::Complete)
+                        }
+                        None => RelayEnd::Complete,
+                    };
+                }
+                Some(Err(error)) => return self.broken(response, &error),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
             };
-            let Some(events) = splitter.push(&data) else { continue };
+            let events = splitter.push(&data);
+            buffer.resize(splitter.held());
+            let Some(events) = events else {
+                let is_silent = clock::now().since(forwarded_at) >= MAX_SILENCE;
+                if let Some(blank) = is_silent.then(|| splitter.take_blank()).flatten() {
+                    forwarded_at = clock::now();
+                    if let Some(end) = self.forward(blank, deadline.as_mut()).await {
+                        return end;
+                    }
+                }
+                continue;
+            };
+            response.body.connection.complete_part();
+            forwarded_at = clock::now();
             if first && !is_next_event(self.last_event.as_deref(), events.first_id.as_deref()) {
                 return RelayEnd::Broken("it goes on at another event".into());
             }
@@ -356,9 +458,29 @@
             if let Some(id) = events.last_id {
                 self.last_event = Some(id);
             }
-            if self.frames.send(Ok(events.bytes)).await.is_err() {
-                return RelayEnd::CallerGone;
+            if let Some(end) = self.forward(events.bytes, deadline.as_mut()).await {
+                return end;
+            }
+        }
+    }
+
+    /// Sends a part of the stream to the caller, and returns the end of the relay if this is not
+    /// possible before the deadline.
+    async fn forward(&self, part: Bytes, deadline: Pin<&mut Sleep>) -> Option<RelayEnd> {
+        tokio::select! {
+            sent = self.frames.send(Ok(part)) => sent.is_err().then_some(RelayEnd::CallerGone),
+            () = deadline => Some(RelayEnd::DeadlinePassed),
+        }
+    }
+
+    /// Returns the end of a stream whose connection failed.
+    fn broken(&self, response: &EndpointResponse, error: &hyper::Error) -> RelayEnd {
+        match response.body.connection.endless() {
+            Some(endless) => {
+                self.dispatcher.note_endless(&response.work.instance, endless);
+                RelayEnd::Broken(endless.to_string().into())
             }
+            None => RelayEnd::Broken(error.to_string().into()),
         }
     }
 
@@ -418,7 +540,7 @@
 
 /// Returns a response with `status` and without a body.
 pub(crate) fn empty_response(status: StatusCode) -> Response<CallerBody> {
-    let mut response = Response::new(CallerBody::Complete(None));
+    let mut response = Response::new(CallerBody::Empty);
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Port of the metrics, on the IP address of `ready`.
     pub metrics_port: u16,
+    /// Memory that the process may use, in bytes; `None` if it is not limited.
+    pub memory: Option<u64>,
     /// Grace period: the time from the stop signal until the process is killed.
     pub grace: Duration,
     /// Number of retries, over the whole deployment, that each request adds to the retry budget.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -28,6 +28,7 @@
     crash_checks::{CrashChecks, EndpointInstance},
     fleet_config::FleetConfig,
     logs::part,
+    message_buffers::MessageBuffers,
     metrics::GatewayMetrics,
     route_table::RouteTable,
     settings::GatewaySettings,
@@ -60,6 +61,7 @@
     pub(crate) store: FleetStore,
     pub(crate) routes: ArcSwapOption<RouteTable>,
     pub(crate) pool: ConnectionPool,
+    pub(crate) buffers: Arc<MessageBuffers>,
     pub(crate) metrics: GatewayMetrics,
     clock_filter: Mutex<ClockFilter>,
     /// Milliseconds by which most wall clocks are ahead of this host's wall clock.
@@ -107,6 +109,7 @@
             store,
             routes: ArcSwapOption::empty(),
             pool: ConnectionPool::default(),
+            buffers: Arc::new(MessageBuffers::new(settings.memory)),
             metrics: GatewayMetrics::new(),
             clock_filter: Mutex::new(ClockFilter::new()),
             clock_skew: AtomicI64::new(0),
@@ -234,7 +237,7 @@
         self.table().set_memories(memories.collect());
         let routes = RouteTable::new(config);
         self.table().partition_services(routes.partitioned_services());
-        self.routes.store(Some(std::sync::Arc::new(routes)));
+        self.routes.store(Some(Arc::new(routes)));
         let mut view = self.view();
         view.cache_config(version, record.clone());
         view.configured_at.get_or_insert(clock::now());
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -23,6 +23,7 @@
 * [`hub`] decides which entry reads the platform's store on behalf of all entries.
 * [`log_position`] orders the records of a log that may come back from an older copy.
 * [`limit`] enforces the limits of client accounts across entries.
+* [`answer`] bounds what may arrive before a message is complete.
 * [`retry`] decides whether a request that failed is sent again.
 * [`scale`] decides when endpoints are started and stopped.
 * [`suspect`] prevents a request that crashes endpoints from crashing more than two.
@@ -40,6 +41,7 @@
 ```
 */
 
+pub mod answer;
 pub mod catalog;
 pub mod control;
 pub mod duty;
