Await the accept loop of an entry that stops

Cause: when the entry stopped to listen, it waited for the connections that it knew. The accept loop, which ends by the same signal, may accept once more in that moment; with no other connection open the process had ended before the answer. Class: a task that starts others was not awaited itself.

The accept loop is one of the awaited tasks and prefers the signal to a connection.

The trace was short of the last lines of the process: the log writer collects for 0.2 s and was not awaited either. Now an entry that ends by itself writes them (a_flush_waits_until_...).

--- a/crates/gateway/src/acceptor.rs
+++ b/crates/gateway/src/acceptor.rs
@@ -20,6 +20,7 @@
 ) {
     loop {
         let accepted = tokio::select! {
+            biased;
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
--- a/crates/gateway/src/log_queue.rs
+++ b/crates/gateway/src/log_queue.rs
@@ -22,13 +22,21 @@
 /// data still gets complete lines.
 const MAX_WRITE_BYTES: usize = 4_096;
 
+/// An item of the queue.
+#[derive(Debug)]
+enum QueueItem {
+    Line(String),
+    /// A request to say when all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// A bounded queue of lines with a thread that writes them.
 ///
 /// A push never blocks. Lines that are pushed while the queue is full are dropped and counted; the
 /// number of dropped lines is written as a log line once the reader continues to read.
 #[derive(Clone, Debug)]
 pub struct LogQueue {
-    sender: SyncSender<String>,
+    sender: SyncSender<QueueItem>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -50,23 +58,36 @@
 
     /// Queues a line, which must not end with a newline, or drops it if the queue is full.
     pub fn push(&self, line: String) {
-        if self.sender.try_send(line).is_err() {
+        if self.sender.try_send(QueueItem::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Waits until the lines that are queued now are written, for at most `timeout`; returns whether
+    /// they are.
+    pub fn flush(&self, timeout: Duration) -> bool {
+        let (written, is_written) = sync_channel(1);
+        let queued = self.sender.try_send(QueueItem::Flush(written)).is_ok();
+        queued && is_written.recv_timeout(timeout).is_ok()
+    }
+
     /// Returns the number of lines dropped so far.
     pub fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
     }
 }
 
-fn write_lines(mut writer: impl Write, lines: &Receiver<String>, dropped: &AtomicU64) {
+fn write_lines(mut writer: impl Write, items: &Receiver<QueueItem>, dropped: &AtomicU64) {
     let mut reported = 0;
-    while let Ok(first) = lines.recv() {
+    while let Ok(first) = items.recv() {
         std::thread::sleep(BATCH_PERIOD);
-        let mut batch = vec![first];
-        batch.extend(lines.try_iter().take(MAX_QUEUED_LINES));
+        let (mut batch, mut flushed) = (Vec::new(), Vec::new());
+        for item in std::iter::once(first).chain(items.try_iter().take(MAX_QUEUED_LINES)) {
+            match item {
+                QueueItem::Line(line) => batch.push(line),
+                QueueItem::Flush(written) => flushed.push(written),
+            }
+        }
         let now_dropped = dropped.load(Ordering::Relaxed);
         if now_dropped > reported {
             batch.push(dropped_line(now_dropped - reported));
@@ -76,6 +97,10 @@
             // A closed or broken log output must not affect the service.
             let _ = writer.write_all(text.as_bytes());
         }
+        for written in flushed {
+            // Nobody may be waiting any more.
+            let _ = written.try_send(());
+        }
     }
 }
 
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -5,6 +5,7 @@
     collections::BTreeMap,
     io,
     sync::{Arc, OnceLock},
+    time::Duration,
 };
 
 use log::{
@@ -36,6 +37,17 @@
     QUEUE.get().map_or(0, LogQueue::dropped)
 }
 
+/// Time for which the end of the process waits for its last log lines to be written: the time for
+/// which lines are collected, and a little more.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(230);
+
+/// Writes the log lines that are still queued.
+pub(crate) fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        queue.flush(FLUSH_TIMEOUT);
+    }
+}
+
 /// Starts logging to standard output.
 ///
 /// # Errors
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -52,13 +52,15 @@
         .enable_all()
         .build()
         .map_err(|source| GatewayError::new(ErrorKind::Start { part: "traffic", source }))?;
-    runtime.block_on(async {
+    let served = runtime.block_on(async {
         let sockets = GatewaySockets::open(&settings)?;
         let stop = CancellationToken::new();
         tokio::spawn(stop_on_signal(stop.clone()));
         serve(settings, codec, store, reload, sockets, stop).await;
         Ok(())
-    })
+    });
+    logs::flush();
+    served
 }
 
 /// Listening sockets of an entry.
@@ -170,7 +172,8 @@
         tokio::spawn(ready::serve(Arc::clone(state), metrics, stop.clone()));
     }
     tokio::spawn(peer::serve(Arc::clone(state), sockets.peers, stop.clone()));
-    tokio::spawn(callers::serve(
+    // The accept loop may accept connections until it has ended, so it is awaited like them.
+    connections.spawn(callers::serve(
         Arc::clone(state),
         sockets.callers,
         stop_serving.clone(),
--- a/crates/gateway/tests/log_queue.rs
+++ b/crates/gateway/tests/log_queue.rs
@@ -79,3 +79,17 @@
     }
     assert_eq!(read, lines);
 }
+
+/// The last lines of a process say how it ended.
+#[test]
+fn a_flush_waits_until_all_queued_lines_are_written() {
+    let (grant, permits) = channel();
+    let (written, writes) = channel();
+    let queue = LogQueue::start(GatedWriter { permits, written }).unwrap();
+    queue.push("first".to_owned());
+    queue.push("last".to_owned());
+    assert!(!queue.flush(Duration::from_millis(400)), "the writer is blocked");
+    grant.send(()).unwrap();
+    assert!(queue.flush(Duration::from_secs(20)));
+    assert_eq!(writes.try_iter().collect::<String>(), "first\nlast\n");
+}
