Let all entries together try a store that does not answer, not each of them

And usage windows were off by up to 30%, because the root hub alone wrote the counts of all, and it was cut off from the store while others were not.

Now the root hub goes on trying, and all others together try four times a second for each topic, in turns that lengthen with the number of entries (kernel hub::ReadTurn). One that reaches the store reads on, states how current its copy is, and hubs fetch the data from it (hub::StoreFollower); the name of the reader travels with the data, so that others stop. Counts of usage take the same way back, and the reader writes them, crash records and, if the holder is lost, the duty. Only entries that may need the duty read it at their start. Windows wait for missing counts until 2 s before their report is due, not 3.5 s. Counts that do not fit a record of the store are split (at 410 entries they would not).

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -9,12 +9,11 @@
 //! closes each usage window and sends its report; the kernel's `duty` module decides which entry
 //! holds the duty.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use pimentorock_kernel::{
     duty::{DutyHolder, DutyLimits, DutyRecord, WindowAggregator},
-    hub::{HubChoice, KnownEntry},
+    hub::{KnownEntry, ReadTurn},
     log_position::LogPosition,
     time::TimePoint,
 };
@@ -39,9 +38,17 @@
 /// the time within which its report is due are together shorter than this age.
 const SHARE_MAX_AGE: Duration = Duration::from_secs(30);
 
+/// Size in bytes from which on the shares are split into several records. A record of the store may
+/// have 256 KiB.
+const MAX_RECORD_BYTES: usize = 200 << 10;
+
 /// Time between checks whether a window has to be closed or reported.
 const DUTY_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time after the start of the process after which the duty record is read for the first time. Most
+/// entries have a hub by then, and need not read it.
+const FIRST_READ_DELAY: Duration = Duration::from_secs(1);
+
 /// Minimum time between two reads of the duty record by an entry that does not hold the duty but
 /// may have to take it over.
 const STANDBY_CHECK_PERIOD: Duration = Duration::from_secs(2);
@@ -50,45 +57,43 @@
 const DUTY_KEY: &str = "usage";
 
 impl GatewayState {
-    /// Returns the shares of this entry, and of the entries that report to it, that the hub does
-    /// not have yet.
-    pub(crate) fn shares_to_send(&self) -> Vec<EntryShare> {
-        let own = self.own_share_to_send();
+    /// Returns the shares of this entry, and of those that pass theirs to it, that the entry at
+    /// `receiver` does not have yet.
+    pub(crate) fn shares_to_send(&self, receiver: SocketAddr) -> Vec<EntryShare> {
+        self.refresh_own_share();
         let view = self.view();
+        let forwarded = view.forwarded_until_ms.get(&receiver);
         let unsent = view.shares.iter().filter(|(key, share)| {
-            view.forwarded_until_ms
-                .get(*key)
-                .is_none_or(|until_ms| *until_ms < share.usage.until_ms)
+            let until_ms = forwarded.and_then(|forwarded| forwarded.get(*key));
+            until_ms.is_none_or(|until_ms| *until_ms < share.usage.until_ms)
         });
-        unsent.map(|(_, share)| share.clone()).chain(own).collect()
+        unsent.map(|(_, share)| share.clone()).collect()
     }
 
-    /// Returns the share of this entry if the share has to be sent now, else `None`.
-    ///
-    /// A share has to be sent if the counts changed and [`SHARE_PERIOD`] has passed since the last
-    /// share, and immediately after the end of a window.
-    fn own_share_to_send(&self) -> Option<EntryShare> {
+    /// Updates the share of this entry if its counts changed and [`SHARE_PERIOD`] has passed since the
+    /// last update, and immediately after the end of a window.
+    fn refresh_own_share(&self) {
         let now = clock::now();
         let wall_ms = self.wall_ms();
         let window = self.window_ms();
         let usage = self.usage_counter().share(wall_ms);
-        let last_shared = self.last_shared();
-        let due = last_shared.as_ref().is_none_or(|(at, last)| {
+        let mut last_share = self.last_share();
+        let is_due = last_share.as_ref().is_none_or(|(at, last)| {
             let changed = last.counts != usage.counts && now.since(*at) >= SHARE_PERIOD;
             changed || last.until_ms / window != wall_ms / window
         });
-        due.then_some(EntryShare { peer: self.settings.peers, usage })
+        if is_due {
+            *last_share = Some((now, usage.clone()));
+            self.view().take_share(EntryShare { peer: self.settings.peers, usage });
+        }
     }
 
-    /// Records that the hub or the store has received `shares`.
-    pub(crate) fn note_shared(&self, shares: Vec<EntryShare>) {
+    /// Records that the entry at `receiver` has received `shares`.
+    pub(crate) fn note_shared(&self, receiver: SocketAddr, shares: Vec<EntryShare>) {
+        let mut view = self.view();
+        let forwarded = view.forwarded_until_ms.entry(receiver).or_default();
         for share in shares {
-            if share.usage.process == self.process {
-                *self.last_shared() = Some((clock::now(), share.usage));
-            } else {
-                let key = share.usage.process.to_string().into();
-                self.view().forwarded_until_ms.insert(key, share.usage.until_ms);
-            }
+            forwarded.insert(share.usage.process.to_string().into(), share.usage.until_ms);
         }
     }
 
@@ -97,10 +102,10 @@
     }
 }
 
-/// Writes the shares of this entry and of the entries that report to it to the store, as long as
-/// this entry is the root hub and until `stop` is cancelled.
+/// Writes the shares of this entry and of those that pass theirs to it to the store, as long as this
+/// entry serves others and until `stop` is cancelled.
 ///
-/// Writes the shares once more after `stop`, even if this entry is not the root hub.
+/// Writes the shares once more after `stop`, even if this entry does not serve others.
 pub(crate) async fn publish_shares(state: Arc<GatewayState>, stop: CancellationToken) {
     let mut written: HashMap<Box<str>, EntryShare> = HashMap::new();
     let mut written_era = 0;
@@ -110,54 +115,39 @@
             () = stop.cancelled() => stopping = true,
             () = sleep(SHARE_PERIOD) => {}
         }
-        let shares = recent_shares(&state);
-        let is_root_hub = state.roster().hub(clock::now()) == HubChoice::Own;
-        if !is_root_hub && !stopping {
+        drop_old_shares(&state);
+        let serves_others = state.view().serves_others(clock::now());
+        if !serves_others && !stopping {
             continue;
         }
-        let own = state.own_share_to_send();
-        let shares = add_own_share(shares, own.clone(), &written, &state);
+        state.refresh_own_share();
+        let shares = state.view().shares.clone();
         // A store that came back from an older copy may have lost the shares.
         let is_new = shares != written || written_era != state.view().era;
         if !is_new || shares.is_empty() {
             continue;
         }
         if let Some(era) = write_shares(&state, &shares).await {
-            state.note_shared(own.into_iter().collect());
             (written, written_era) = (shares, era);
         }
     }
 }
 
-/// Adds the share of this entry to those of the entries that report to it: `own` if there is one,
-/// else the share that was written last.
-fn add_own_share(
-    mut shares: HashMap<Box<str>, EntryShare>,
-    own: Option<EntryShare>,
-    written: &HashMap<Box<str>, EntryShare>,
-    state: &GatewayState,
-) -> HashMap<Box<str>, EntryShare> {
-    let key: Box<str> = state.process.to_string().into();
-    if let Some(own) = own.or_else(|| written.get(&key).cloned()) {
-        shares.insert(key, own);
-    }
-    shares
-}
-
-/// Returns the shares of other entries that may still affect an open window, and drops the others.
-fn recent_shares(state: &GatewayState) -> HashMap<Box<str>, EntryShare> {
+/// Drops the shares that cannot affect an open window any more.
+fn drop_old_shares(state: &GatewayState) {
     let oldest = state.wall_ms().saturating_sub(SHARE_MAX_AGE.as_millis() as u64);
     let mut view = state.view();
     view.shares.retain(|_, share| share.usage.until_ms >= oldest);
-    view.forwarded_until_ms.retain(|_, until_ms| *until_ms >= oldest);
-    view.shares.clone()
+    for forwarded in view.forwarded_until_ms.values_mut() {
+        forwarded.retain(|_, until_ms| *until_ms >= oldest);
+    }
+    view.forwarded_until_ms.retain(|_, forwarded| !forwarded.is_empty());
 }
 
 /// Writes shares to the store and returns the era in which the store has them.
 async fn write_shares(state: &GatewayState, shares: &HashMap<Box<str>, EntryShare>) -> Option<u64> {
-    let shares: Vec<&EntryShare> = shares.values().collect();
-    let value = match serde_json::to_vec(&shares) {
-        Ok(value) => Bytes::from(value),
+    let records = match share_records(&state.process.to_string(), shares.values()) {
+        Ok(records) => records,
         Err(error) => {
             log::warn!(
                 target: part::DUTY, error = error.to_string();
@@ -166,8 +156,7 @@
             return None;
         }
     };
-    let record = NewRecord { key: state.process.to_string().into(), value };
-    let sent = (state.store.append)(StoreTopic::Shares, vec![record], None).await;
+    let sent = (state.store.append)(StoreTopic::Shares, records, None).await;
     state.metrics.note_store_call("share", sent.is_ok());
     match sent {
         Ok(position) => {
@@ -181,6 +170,26 @@
     }
 }
 
+/// Returns records with all `shares`, as many as needed for the size that a record may have.
+fn share_records<'a>(
+    process: &str,
+    shares: impl Iterator<Item = &'a EntryShare>,
+) -> serde_json::Result<Vec<NewRecord>> {
+    let mut groups: Vec<String> = Vec::new();
+    for share in shares {
+        let text = serde_json::to_string(share)?;
+        match groups.last_mut().filter(|group| group.len() + text.len() < MAX_RECORD_BYTES) {
+            Some(group) => group.extend([",", &text]),
+            None => groups.push(text),
+        }
+    }
+    let record = |(number, group): (usize, String)| {
+        let key = if number == 0 { process.into() } else { format!("{process}/{number}").into() };
+        NewRecord { key, value: format!("[{group}]").into() }
+    };
+    Ok(groups.into_iter().enumerate().map(record).collect())
+}
+
 /// Closes and reports usage windows while this entry holds the duty, and takes the duty over from a
 /// lost holder; releases the duty when `stop` is cancelled.
 pub(crate) async fn report_usage(state: Arc<GatewayState>, stop: CancellationToken) {
@@ -202,6 +211,8 @@
     aggregator: WindowAggregator,
     /// Whether the duty record was read at least once since the start.
     has_read: bool,
+    /// Turn of the first read.
+    turn: ReadTurn,
     /// Time of the last read of the shares.
     shares_read_at: TimePoint,
 }
@@ -213,6 +224,7 @@
             duty: DutyHolder::new(clock::now(), state.process.clone(), limits),
             aggregator: WindowAggregator::new(state.window_ms(), limits),
             has_read: false,
+            turn: ReadTurn::without_first_read(),
             shares_read_at: TimePoint::ZERO,
             state,
         }
@@ -223,6 +235,9 @@
             return;
         }
         if let Err(error) = self.read().await {
+            let now = clock::now();
+            let (role, entries) = (self.state.view().role(now), self.state.live_entries());
+            self.turn.note_failure(now, role, entries, clock::random_fraction());
             log::warn!(target: part::DUTY, error = error.to_string(); "cannot read the usage duty");
             return;
         }
@@ -239,23 +254,28 @@
     /// Reports whether the duty record has to be read now, because a window may have to be closed or
     /// reported, or because nothing was read yet and peers may be unknown.
     ///
-    /// The holder of the duty reads whenever a window has ended and is not closed yet. The root hub
-    /// and the standby entry, which is the first in line to replace the root hub, read in the same
+    /// The holder of the duty reads whenever a window has ended and is not closed yet. The entries that
+    /// serve others and the standby entry, which is the first in line to replace the root hub, read in the same
     /// case, but at most once per [`STANDBY_CHECK_PERIOD`].
-    fn must_read(&self) -> bool {
+    fn must_read(&mut self) -> bool {
         let now = clock::now();
+        let (role, entries) = (self.state.view().role(now), self.state.live_entries());
+        let random = clock::random_fraction();
+        let first_is_due = !self.has_read
+            && now.since(self.state.started) >= FIRST_READ_DELAY
+            && self.turn.is_due(now, role, entries, random);
         let current = self.state.wall_ms() / self.state.window_ms();
         let has_unclosed_window = self.duty.last_closed().is_none_or(|last| last + 1 < current);
         let is_holder = self.duty.holder().is_some_and(|(holder, _)| *holder == self.state.process);
-        let is_root_hub = self.state.roster().hub(now) == HubChoice::Own;
+        let serves_others = self.state.view().serves_others(now);
         let is_standby = self.state.roster().is_standby(now);
         let standby_check_due = now.since(self.shares_read_at) >= STANDBY_CHECK_PERIOD;
         let has_lost_records = is_holder && self.duty.end().era < self.state.view().era;
-        !self.has_read
+        first_is_due
             || has_lost_records
             || self.duty.must_repeat()
             || (has_unclosed_window
-                && (is_holder || (standby_check_due && (is_root_hub || is_standby))))
+                && (is_holder || (standby_check_due && (serves_others || is_standby))))
     }
 
     /// Reads the newest duty record and the shares of other entries.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod state;
 pub mod store;
 mod suspects;
+mod topic_reader;
 pub mod wire;
 mod work_guard;
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -81,8 +81,12 @@
     /// sender's hub; `None` if the receiver is not the
     /// sender's hub.
     pub(crate) group: Option<GroupReport>,
+    /// Usage shares that the receiver, or the entries to which it passes them on, do not have yet.
+    pub(crate) shares: Vec<EntryShare>,
     /// Highest era of the store that the sender has seen.
     pub(crate) era: u64,
+    /// Age of the sender's configuration and endpoints, in milliseconds.
+    pub(crate) store_age_ms: u64,
     /// Version of the sender's current configuration; `None` if the sender has none.
     pub(crate) config_version: Option<u64>,
     /// Offset of the next endpoint record to read in `era`; `None` if the sender has read none.
@@ -100,13 +104,11 @@
     pub(crate) suspects_seen: LedgerPosition,
 }
 
-/// The state of an entry and of the entries that report to it, for its hub.
+/// The load of an entry and of the entries that report to it, for its hub.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct GroupReport {
     /// Load that the group has placed on endpoints.
     pub(crate) load: GroupLoad,
-    /// Usage shares that the hub does not have yet.
-    pub(crate) shares: Vec<EntryShare>,
 }
 
 /// The answer to an [`EntryReport`].
@@ -114,6 +116,8 @@
 pub(crate) struct EntryUpdate {
     /// Age of the answering entry's configuration and endpoints, in milliseconds.
     pub(crate) store_age_ms: u64,
+    /// The entry that read them from the store, if known.
+    pub(crate) reader: Option<SocketAddr>,
     /// Highest era of the store that the answering entry has seen; the records are of this era.
     pub(crate) era: u64,
     /// Record of the current configuration; `None` if it is not newer than that of the report.
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -1,9 +1,12 @@
 //! The data that an entry shares with other entries: store records, load, clocks and usage shares.
 
-use std::{cmp::Ordering, collections::HashMap};
+use std::{cmp::Ordering, collections::HashMap, net::SocketAddr, time::Duration};
 
 use pimentorock_kernel::{
-    hub::{HubChoice, HubRoster, KnownEntry, LoadAggregator, SkewEstimator, SlidingMaximum},
+    hub::{
+        HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
+        StoreFollower,
+    },
     time::TimePoint,
 };
 
@@ -33,11 +36,11 @@
     pub(crate) load_aggregator: LoadAggregator,
     /// Wall clocks of the entries that report to this entry.
     pub(crate) clocks: SkewEstimator,
-    /// Usage shares of the entries that report to this entry, by process.
+    /// Usage shares of this entry and of those that pass theirs to it, by process.
     pub(crate) shares: HashMap<Box<str>, EntryShare>,
-    /// For each process in `shares`: the end of its last share that was delivered to the hub or the
-    /// store, in wall-clock milliseconds.
-    pub(crate) forwarded_until_ms: HashMap<Box<str>, u64>,
+    /// For each entry that receives shares, and each process: the end of the last share that was
+    /// delivered, in wall-clock milliseconds.
+    pub(crate) forwarded_until_ms: HashMap<SocketAddr, HashMap<Box<str>, u64>>,
     /// Number of entries that share the retry allowance.
     pub(crate) entry_count: SlidingMaximum,
     /// Highest era of the store that was seen; 0 before the first contact or if the store states none.
@@ -52,6 +55,8 @@
     pub(crate) knows_suspects: bool,
     /// Time at which this entry got its first configuration.
     pub(crate) configured_at: Option<TimePoint>,
+    /// How current the configuration and the endpoints are, and which entry read them.
+    pub(crate) follower: StoreFollower,
     /// Time at which the configuration was last known to match the store.
     config_current_at: TimePoint,
     /// Time at which the endpoints were last known to match the store.
@@ -62,6 +67,7 @@
     /// Returns a view without any records.
     pub(crate) fn new(roster: HubRoster) -> SharedView {
         SharedView {
+            follower: StoreFollower::new(roster.own()),
             roster,
             load_aggregator: LoadAggregator::new(),
             clocks: SkewEstimator::new(),
@@ -102,30 +108,46 @@
         self.config.as_ref().map(|(version, _)| *version)
     }
 
-    /// Records that `topic` matched the store at time `at`.
-    pub(crate) fn note_current(&mut self, topic: StoreTopic, at: TimePoint) {
+    /// Records that this entry read `topic`, which matched the store at time `at`.
+    pub(crate) fn note_read(&mut self, now: TimePoint, topic: StoreTopic, at: TimePoint) {
+        let role = self.role(now);
         let current = match topic {
             StoreTopic::Config => &mut self.config_current_at,
             StoreTopic::Endpoints => &mut self.endpoints_current_at,
             StoreTopic::Suspects | StoreTopic::Shares | StoreTopic::Duty => return,
         };
         *current = at.max(*current);
+        self.follower.note_read(self.config_current_at.min(self.endpoints_current_at), role);
     }
 
-    /// Returns the last time at which both configuration and endpoints matched the store.
-    pub(crate) fn current_at(&self) -> TimePoint {
-        self.config_current_at.min(self.endpoints_current_at)
+    /// Records that the entry at `from` passed on data which matched the store at time `at` and were
+    /// read by `reader`.
+    fn note_passed_on(
+        &mut self,
+        now: TimePoint,
+        from: SocketAddr,
+        at: TimePoint,
+        reader: Option<SocketAddr>,
+    ) {
+        self.config_current_at = self.config_current_at.max(at);
+        self.endpoints_current_at = self.endpoints_current_at.max(at);
+        let max_age = self.roster.max_store_age(now);
+        self.follower.note_update(now, from, at, reader, max_age);
     }
 
-    /// Reports whether this entry must read the store itself: because it is the hub, or because the
-    /// hub does not provide current data.
-    pub(crate) fn reads_store(&self, now: TimePoint) -> bool {
-        self.roster.hub(now) == HubChoice::Own || self.is_stale(now)
+    /// Returns why this entry reads the store now, or why not.
+    pub(crate) fn role(&self, now: TimePoint) -> ReadRole {
+        self.follower.role(now, self.roster.hub(now), self.roster.max_store_age(now))
+    }
+
+    /// Reports whether this entry reads and writes the store on behalf of others.
+    pub(crate) fn serves_others(&self, now: TimePoint) -> bool {
+        matches!(self.role(now), ReadRole::Root | ReadRole::Reader)
     }
 
     /// Reports whether the data is older than the maximum age that a working hub allows.
     pub(crate) fn is_stale(&self, now: TimePoint) -> bool {
-        now.since(self.current_at()) > self.roster.max_store_age(now)
+        now.since(self.follower.current_at()) > self.roster.max_store_age(now)
     }
 
     /// Stores the record of the current configuration.
@@ -148,6 +170,15 @@
         self.endpoints.insert(record.key.clone(), cached);
     }
 
+    /// Stores the usage share of a process unless a newer one is known.
+    pub(crate) fn take_share(&mut self, share: EntryShare) {
+        let key: Box<str> = share.usage.process.to_string().into();
+        let known = self.shares.get(&key);
+        if known.is_none_or(|known| known.usage.until_ms <= share.usage.until_ms) {
+            self.shares.insert(key, share);
+        }
+    }
+
     fn note_reporter(&mut self, now: TimePoint, report: &EntryReport) {
         let (address, domain) = (report.peer, Some(report.domain.clone()));
         self.roster.note_entry(now, &KnownEntry { address, domain, age_ms: 0 });
@@ -165,6 +196,10 @@
     }
 }
 
+fn age_ms(now: TimePoint, at: TimePoint) -> u64 {
+    now.since(at).as_millis() as u64
+}
+
 /// How an era compares with the highest one that was seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EraChange {
@@ -211,15 +246,20 @@
         let own = self.table().own_load();
         let load = self.view().load_aggregator.group(clock::now(), &own);
         EntryReport {
-            group: Some(GroupReport { load, shares }),
-            ..self.announcement(wants_entries, known)
+            group: Some(GroupReport { load }),
+            ..self.announcement(shares, wants_entries, known)
         }
     }
 
-    /// Returns a report for an entry that is not the hub, without load and shares.
+    /// Returns a report for an entry that is not the hub, without load.
     ///
     /// `known` tells which changes of the suspects both sides have.
-    pub(crate) fn announcement(&self, wants_entries: bool, known: KnownSuspects) -> EntryReport {
+    pub(crate) fn announcement(
+        &self,
+        shares: Vec<EntryShare>,
+        wants_entries: bool,
+        known: KnownSuspects,
+    ) -> EntryReport {
         let now = clock::now();
         let suspects = self.suspects().changes_since(now, known.by_peer);
         let view = self.view();
@@ -228,7 +268,9 @@
             peer: self.settings.peers,
             domain: self.settings.domain.clone(),
             group: None,
+            shares,
             era: view.era,
+            store_age_ms: age_ms(now, view.follower.current_at()),
             config_version: view.config_version(),
             endpoints_next: view.next_offset(StoreTopic::Endpoints),
             // Unlike `GatewayState::wall_ms`, which uses the skew that the hub determined, this time
@@ -258,12 +300,17 @@
         self.note_era(report.era, "peer");
         let mut view = self.view();
         view.note_reporter(now, &report);
+        // Data of an earlier era are not newer, whenever they were read.
+        if report.era == view.era {
+            let current_at = now - Duration::from_millis(report.store_age_ms);
+            view.follower.note_report(now, report.peer, current_at);
+        }
         if let Some(group) = report.group {
             view.clocks.take(now, &report.process, report.wall_ms, own_wall_ms);
             view.load_aggregator.take(now, report.process.clone(), group.load);
-            for share in group.shares {
-                view.shares.insert(share.usage.process.to_string().into(), share);
-            }
+        }
+        for share in report.shares {
+            view.take_share(share);
         }
         let newer = view.config.as_ref().filter(|(version, _)| {
             report.config_version.is_none_or(|reported| *version > reported)
@@ -272,7 +319,8 @@
         let endpoints_next = report.endpoints_next.filter(|_| report.era == view.era);
         EntryUpdate {
             era: view.era,
-            store_age_ms: now.since(view.current_at()).as_millis() as u64,
+            store_age_ms: age_ms(now, view.follower.current_at()),
+            reader: view.follower.reader(),
             config: newer.map(|(_, record)| PeerRecord::from(record.clone())),
             endpoints: view.endpoints_since(endpoints_next),
             endpoints_next: view.next_offset(StoreTopic::Endpoints),
@@ -289,11 +337,17 @@
         }
     }
 
-    /// Applies the answer of another entry to a report that was sent at `sent_at`.
+    /// Applies the answer of the entry at `from` to a report that was sent at `sent_at`.
     ///
     /// Load, strict counts and clocks are applied only if the answer is `from_hub`, because only a
     /// hub knows the load of all other entries.
-    pub(crate) fn apply_update(&self, sent_at: TimePoint, update: EntryUpdate, from_hub: bool) {
+    pub(crate) fn apply_update(
+        &self,
+        from: SocketAddr,
+        sent_at: TimePoint,
+        update: EntryUpdate,
+        from_hub: bool,
+    ) {
         let now = clock::now();
         if let Some(record) = update.config {
             self.apply_record(StoreTopic::Config, update.era, &record.into(), "peer");
@@ -304,7 +358,7 @@
             self.apply_record(StoreTopic::Endpoints, update.era, &record.into(), "peer");
         }
         self.suspects().merge(now, &update.suspects);
-        let current = sent_at - std::time::Duration::from_millis(update.store_age_ms);
+        let current = sent_at - Duration::from_millis(update.store_age_ms);
         {
             let mut view = self.view();
             for entry in &update.entries {
@@ -315,8 +369,7 @@
                 if let Some(next) = update.endpoints_next {
                     view.advance(StoreTopic::Endpoints, next);
                 }
-                view.note_current(StoreTopic::Config, current);
-                view.note_current(StoreTopic::Endpoints, current);
+                view.note_passed_on(now, from, current, update.reader);
             }
         }
         if from_hub {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -80,10 +80,10 @@
     archive: Mutex<SuspectArchive>,
     pub(crate) crash_checks: CrashChecks,
     usage_counter: Mutex<UsageCounter>,
-    /// Last usage share of this entry that the hub or the store received, and when that was.
-    last_shared: Mutex<Option<(TimePoint, UsageShare)>>,
+    /// Last usage share of this entry, and its time.
+    last_share: Mutex<Option<(TimePoint, UsageShare)>>,
     /// When the process started.
-    started: TimePoint,
+    pub(crate) started: TimePoint,
     /// Number of entries that share the retry allowance, including this one.
     live_entries: AtomicUsize,
 }
@@ -118,7 +118,7 @@
             directory: Mutex::new(EndpointDirectory::new()),
             budgets: Mutex::new(HashMap::new()),
             retry_allowance: Mutex::new((settings.retry_ratio, settings.retry_slack)),
-            last_shared: Mutex::new(None),
+            last_share: Mutex::new(None),
             started: clock::now(),
             live_entries: AtomicUsize::new(INITIAL_ENTRY_COUNT),
             settings,
@@ -161,9 +161,15 @@
         RosterGuard(self.view())
     }
 
-    /// Locks the last usage share that the hub or the store received and its time.
-    pub(crate) fn last_shared(&self) -> MutexGuard<'_, Option<(TimePoint, UsageShare)>> {
-        self.last_shared.lock().expect("no holder of the lock panics")
+    /// Locks the last usage share of this entry. A holder of this lock may lock
+    /// [`view`](GatewayState::view) too, but not the other way round.
+    pub(crate) fn last_share(&self) -> MutexGuard<'_, Option<(TimePoint, UsageShare)>> {
+        self.last_share.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the number of entries, including this one.
+    pub(crate) fn live_entries(&self) -> usize {
+        self.live_entries.load(Ordering::Relaxed)
     }
 
     /// Returns this host's wall-clock time in milliseconds since the Unix epoch, without short
@@ -370,7 +376,7 @@
     /// Returns the number of retries that each request adds to a budget, and this entry's share of
     /// the reserve.
     fn budget_limits(&self) -> (f64, f64) {
-        let entries = self.live_entries.load(Ordering::Relaxed) as f64;
+        let entries = self.live_entries() as f64;
         let (ratio, slack) = *self.retry_allowance.lock().expect("no holder of the lock panics");
         (ratio * BUDGET_SHARE, slack * BUDGET_SHARE / entries)
     }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use pimentorock_kernel::{
-    hub::HubChoice,
     suspect::{ArchivedSuspect, LedgerPosition, StoredCrash},
     time::TimePoint,
 };
@@ -87,7 +86,7 @@
         let era = state.view().era;
         let tidies = stopping || now.since(written.tidied_at) >= TIDY_PERIOD;
         let is_due = position != written.position || era != written.era || tidies;
-        if !is_due || state.roster().hub(now) != HubChoice::Own {
+        if !is_due || !state.view().serves_others(now) {
             continue;
         }
         state.metrics.note_suspects(state.suspects().table().len());
--- a/crates/kernel/src/duty/limits.rs
+++ b/crates/kernel/src/duty/limits.rs
@@ -14,8 +14,9 @@
 /// Lower bound of the lease, so that holders do not change often.
 const MIN_LEASE: Duration = Duration::from_millis(3_000);
 
-/// Time before the due time of a window's report at which the window is closed at the latest.
-const CLOSE_BEFORE_DUE: Duration = Duration::from_millis(3_500);
+/// Time before the due time of a window's report at which the window is closed at the latest: the time
+/// between two looks at the windows, the longest time of a report, and a margin.
+const CLOSE_BEFORE_DUE: Duration = Duration::from_millis(2_000);
 
 /// Time limits of the usage duty, derived from the deployment's requirements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/kernel/src/hub/roster.rs
+++ b/crates/kernel/src/hub/roster.rs
@@ -80,6 +80,11 @@
         HubRoster { own, domain: domain.into(), rows: BTreeMap::new() }
     }
 
+    /// Returns the address of the entry that owns this roster.
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
     /// Notes contact with the entry at `address`. The call does not change the known failure domain
     /// of that entry.
     pub fn note_heard(&mut self, now: TimePoint, address: SocketAddr) {
--- a/crates/kernel/tests/duty.rs
+++ b/crates/kernel/tests/duty.rs
@@ -344,9 +344,9 @@
 fn limits_follow_the_required_lease_and_due_time() {
     // Lease and due time in seconds; takeover span, released span and latest close in milliseconds.
     let cases = [
-        (3, 10, 7_500, 3_500, 6_500),
-        (1, 10, 7_500, 3_500, 6_500),
-        (8, 20, 12_500, 8_500, 16_500),
+        (3, 10, 7_500, 3_500, 8_000),
+        (1, 10, 7_500, 3_500, 8_000),
+        (8, 20, 12_500, 8_500, 18_000),
         (3, 4, 7_500, 3_500, 2_000),
     ];
     for (lease, due, takeover, released, close) in cases {
@@ -354,5 +354,8 @@
         assert_eq!(limits.takeover_span, Duration::from_millis(takeover));
         assert_eq!(limits.released_span, Duration::from_millis(released));
         assert_eq!(limits.latest_close, Duration::from_millis(close));
+        // A look every half second and a report of 0.9 s fit before the report is due.
+        let needed = Duration::from_millis(500 + 900);
+        assert!(due < 4 || limits.latest_close + needed < Duration::from_secs(due));
     }
 }
