--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -574,6 +574,14 @@
         for notice in rest.into_iter().chain(leaving) {
             self.state.note_notice(&self.request.id, instance, notice);
         }
+        if let Some(limit) = head.limit {
+            let rate = limit.rate().map_or(-1.0, |rate| rate.stated());
+            log::info!(
+                target: part::REQUEST,
+                request = &*self.request.id, endpoint = &*instance.name, limit = rate;
+                "endpoint names a limit"
+            );
+        }
     }
 
     fn forwarded_request(
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use pimentorock_kernel::place::{EndpointNotice, EndpointSample, PromptPart};
+use pimentorock_kernel::{
+    place::{EndpointNotice, EndpointSample, PromptPart},
+    send_limit::LimitWord,
+};
 
 /// Decoded head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -62,6 +65,8 @@
     pub leaving: bool,
     /// Time for which the endpoint wants no requests if it refused this one as overloaded.
     pub rest: Option<EndpointNotice>,
+    /// Limit on the requests of all entries together; `None` if the endpoint names none.
+    pub limit: Option<LimitWord>,
 }
 
 /// Functions that decode and encode request and response heads.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -23,6 +23,7 @@
 * [`hub`] decides which entry reads the platform's store on behalf of all entries.
 * [`log_position`] orders the records of a log that may come back from an older copy.
 * [`limit`] enforces the limits of client accounts across entries.
+* [`send_limit`] enforces the limits that endpoints name across entries.
 * [`answer`] bounds what may arrive before a message is complete.
 * [`retry`] decides whether a request that failed is sent again.
 * [`scale`] decides when endpoints are started and stopped.
@@ -58,5 +59,6 @@
 pub mod retry;
 pub mod route;
 pub mod scale;
+pub mod send_limit;
 pub mod suspect;
 pub mod time;
