Keep the limits that endpoints name in the whole fleet

Callers were served, but endpoints that had named a limit got a multiple of it from all entries together.

Cause: a limit of the fleet was known to nobody, and there was no means to share it out; each bound between entries so far is a part for each entry, which grows with their number where the parts are small.

Sends to a limited endpoint now need a ticket each. The root hub mints tickets at the rate of the limit, and they travel down the tree of hubs to the entries that want them, the most urgent requests first. Tickets that were minted and are not known to be used never exceed the burst, whatever the number of entries. A request without a ticket goes elsewhere or is refused at once with the time after which another attempt is worthwhile. The end of a limit is decided by the root hub.

--- a/crates/daemon/tests/endpoint_limits.rs
+++ b/crates/daemon/tests/endpoint_limits.rs
@@ -98,6 +98,13 @@
         assert!(outcome.retry_after.is_some_and(|seconds| seconds >= 0.5), "{outcome:?}");
         assert!(outcome.took < Duration::from_millis(500), "{outcome:?}");
     }
+    // Each entry says what it knows of the limit and by whom, also those that got no answer themselves.
+    let told = fleet.log_lines("endpoint limit changed");
+    let told = |process: usize| {
+        let process = format!("\"process\":\"entry-{process}\"");
+        told.iter().filter(|line| line.contains(&process)).count()
+    };
+    assert!((0..usize::from(ENTRIES)).all(|process| told(process) >= 2));
     // The limit ends for all entries once the endpoints no longer name it.
     fleet.endpoints.iter().for_each(|endpoint| endpoint.name_limit(None));
     tokio::time::sleep(Duration::from_secs(5)).await;
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -24,8 +24,6 @@
     pub(crate) body: HeldMessage,
     pub(crate) route: RouteSpec,
     pub(crate) account: Option<Box<str>>,
-    /// Urgency at the endpoint; 0 is the most urgent, `None` stands for a request without any tier.
-    pub(crate) urgency: Option<u8>,
     pub(crate) last_event: Option<Box<str>>,
     /// Properties of the request that the choice of an endpoint depends on.
     pub(crate) placement: PlacedRequest,
@@ -52,7 +50,6 @@
             headers: parts.headers,
             body,
             account: None,
-            urgency: urgency(route.tier, None),
             last_event: head.last_event,
             placement: PlacedRequest {
                 service,
@@ -60,6 +57,7 @@
                 output_tokens,
                 needed_rate: f64::from(output_tokens) / timeout.as_secs_f64().max(0.1),
                 strict: route.strict,
+                urgency: urgency(route.tier, None),
                 parts: head.parts,
             },
             deadline: arrived + timeout,
@@ -71,7 +69,7 @@
     /// Sets the client account that the request runs for.
     pub(crate) fn with_account(mut self, name: Box<str>, tier: Option<u8>) -> CallerRequest {
         self.account = Some(name);
-        self.urgency = urgency(self.route.tier, tier);
+        self.placement.urgency = urgency(self.route.tier, tier);
         self
     }
 
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -233,14 +233,18 @@
         self.excused = verdict == PartVerdict::Excused;
         let mut table = self.state.table();
         let choice = table.choose(now, &self.request.placement, &self.excluded);
+        if let Some(decision) = limit_decision(&choice) {
+            self.state.metrics.note_limit_decision(decision);
+        }
         choice.map_err(|reason: DecisionReason| {
             let diagnosis = table.diagnose(now, &self.request.placement);
             drop(table);
             self.log_not_placed(&reason, &diagnosis);
             let failure = self.failure(reason.to_string().into());
             match reason {
-                // Coming back before the first endpoint returns would be in vain.
-                DecisionReason::EndpointsExcluded { millis } => {
+                // Coming back before an endpoint takes requests again would be in vain.
+                DecisionReason::EndpointsExcluded { millis }
+                | DecisionReason::EndpointsLimited { millis } => {
                     failure.with_delay_of_at_least(Duration::from_millis(millis))
                 }
                 _ => failure,
@@ -253,7 +257,7 @@
             target: part::REQUEST,
             request = &*self.request.id, service = &*self.request.placement.service,
             reason = reason.to_string(), open = diagnosis.open, down = diagnosis.down,
-            excluded = self.excluded.len(), resting = diagnosis.excluded, short_of_memory = diagnosis.short_of_memory,
+            excluded = self.excluded.len(), resting = diagnosis.excluded, limited = diagnosis.limited, short_of_memory = diagnosis.short_of_memory,
             least_load = diagnosis.least_load, load_limit = diagnosis.load_limit,
             others_age_ms = diagnosis.others_age.map_or(-1, |age| age.as_millis() as i64),
             prompt_tokens = self.request.placement.prompt_tokens;
@@ -370,7 +374,7 @@
             request = &*request.id, route = &*request.route.name, endpoint = &*choice.name,
             fingerprint = format!("{:016x}", self.fingerprint), sends = self.sends, cost = choice.cost as u64, cached = choice.cached,
             home_rank = choice.home_rank.map_or(-1, |rank| rank as i64),
-            ahead = choice.pending_prefill, load = choice.load, strict = choice.strict,
+            ahead = choice.pending_prefill, load = choice.load, limited = choice.limited, strict = choice.strict,
             others_age_ms = choice.others_age.map_or(-1, |age| age.as_millis() as i64),
             prompt_tokens = request.placement.prompt_tokens;
             "request placed"
@@ -485,9 +489,10 @@
             }
         };
         self.state.table().note_reached(choice.endpoint);
-        if self.state.table().is_excluded(clock::now(), choice.endpoint) {
+        let urgency = self.request.placement.urgency;
+        if !self.state.table().may_send(clock::now(), choice, urgency) {
             self.state.pool.put(&choice.name, connection);
-            return SendOutcome::Unreached("the endpoint asked for no requests meanwhile".into());
+            return SendOutcome::Unreached("the endpoint takes no requests meanwhile".into());
         }
         let request = self.forwarded_request(choice, last_event);
         let response =
@@ -538,6 +543,11 @@
         if head.id.as_deref().is_some_and(|id| id != &*self.request.id) {
             return SendOutcome::Lost("the answer belongs to another request".into());
         }
+        // Bytes that no endpoint vouches for say nothing of a limit.
+        let is_own = head.id.is_some() || head.signed || head.not_run;
+        if is_own && parts.status != StatusCode::MISDIRECTED_REQUEST {
+            self.state.note_limit(&self.request.id, &work, head.limit);
+        }
         if let Some(sample) = head.sample {
             self.state.table().note_sample(now, choice.endpoint, sample);
         }
@@ -574,14 +584,6 @@
         for notice in rest.into_iter().chain(leaving) {
             self.state.note_notice(&self.request.id, instance, notice);
         }
-        if let Some(limit) = head.limit {
-            let rate = limit.rate().map_or(-1.0, |rate| rate.stated());
-            log::info!(
-                target: part::REQUEST,
-                request = &*self.request.id, endpoint = &*instance.name, limit = rate;
-                "endpoint names a limit"
-            );
-        }
     }
 
     fn forwarded_request(
@@ -594,7 +596,7 @@
             endpoint: &choice.name,
             account: request.account.as_deref(),
             time_left: request.time_left(),
-            urgency: request.urgency,
+            urgency: request.placement.urgency,
             last_event,
         };
         let mut forwarded = Request::new(Full::new(request.body.bytes.clone()));
@@ -604,3 +606,14 @@
         forwarded
     }
 }
+
+/// Returns the name in metrics of what limits of endpoints meant for a choice; `None` if there was
+/// none.
+fn limit_decision(choice: &Result<PlaceChoice, DecisionReason>) -> Option<&'static str> {
+    match choice {
+        Ok(choice) if choice.send_by.is_some() => Some("sent"),
+        Ok(choice) if choice.limited > 0 => Some("elsewhere"),
+        Err(DecisionReason::EndpointsLimited { .. }) => Some("refused"),
+        _ => None,
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -111,6 +111,7 @@
             let view = state.view();
             (view.roster.hub(now), view.roster.period(now), view.is_stale(now))
         };
+        state.step_limits(hub, exchange_period);
         let mut served = false;
         match hub {
             HubChoice::Peer(address) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod event_splitter;
 pub mod fleet_config;
 mod follow;
+mod limits;
 pub mod log_queue;
 mod logs;
 mod message_buffers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     endless_responses: Counter<u64>,
     crash_checks: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
+    limited_endpoints: Gauge<u64>,
+    limit_decisions: Counter<u64>,
     refused_suspects: Counter<u64>,
     refused_parts: Counter<u64>,
     suspects: Gauge<u64>,
@@ -56,6 +58,8 @@
             endless_responses: meter.u64_counter("endless_responses").build(),
             crash_checks: meter.u64_counter("crash_checks").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
+            limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
+            limit_decisions: meter.u64_counter("limit_decisions").build(),
             refused_suspects: meter.u64_counter("refused_suspects").build(),
             refused_parts: meter.u64_counter("refused_prompt_parts").build(),
             suspects: meter.u64_gauge("suspects").build(),
@@ -104,6 +108,16 @@
         self.endpoint_exclusions.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Sets the number of endpoints that name a limit.
+    pub(crate) fn note_limits(&self, endpoints: usize) {
+        self.limited_endpoints.record(endpoints as u64, &[]);
+    }
+
+    /// Counts what limits meant for a request: `decision` is `sent`, `elsewhere` or `refused`.
+    pub(crate) fn note_limit_decision(&self, decision: &'static str) {
+        self.limit_decisions.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Counts a request that was not sent because it crashes endpoints.
     pub(crate) fn note_refused_suspect(&self) {
         self.refused_suspects.add(1, &[]);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -10,6 +10,7 @@
     duty::UsageShare,
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
+    send_limit::{LimitAnswer, LimitReport},
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
 };
 use serde::{Deserialize, Serialize};
@@ -69,7 +70,7 @@
 }
 
 /// The state that an entry sends to another entry, including how much of the store it has read.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EntryReport {
     /// Identifier of the sending process.
     pub(crate) process: ProcessId,
@@ -109,14 +110,16 @@
 }
 
 /// The load of an entry and of the entries that report to it, for its hub.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct GroupReport {
     /// Load that the group has placed on endpoints.
     pub(crate) load: GroupLoad,
+    /// Limits that endpoints name, and the group's tickets; `None` if none is known.
+    pub(crate) limits: Option<LimitReport>,
 }
 
 /// The answer to an [`EntryReport`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EntryUpdate {
     /// Age of the answering entry's configuration and endpoints, in milliseconds.
     pub(crate) store_age_ms: u64,
@@ -142,6 +145,11 @@
     pub(crate) suspects: SuspectDelta,
     /// Histories of prompt parts that changed since the position that the report stated.
     pub(crate) part_suspects: PartDelta,
+    /// Limits that changed, and tickets for the reporting entry's group; `None` if no limit is known or
+    /// the report was not one of a group.
+    pub(crate) limits: Option<LimitAnswer>,
+    /// Number of entries of the fleet, as the root hub counts them; 0 if unknown.
+    pub(crate) fleet: u32,
     /// Whether the reporting entry, after `suspects` and `part_suspects`, knows all suspects that the store has.
     pub(crate) knows_suspects: bool,
 }
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -247,7 +247,7 @@
         let own = self.table().own_load();
         let load = self.view().load_aggregator.group(clock::now(), &own);
         EntryReport {
-            group: Some(GroupReport { load }),
+            group: Some(GroupReport { load, limits: self.limit_report() }),
             ..self.announcement(shares, wants_entries, known)
         }
     }
@@ -307,6 +307,7 @@
             (ledger.changes_since(now, report.part_suspects_seen), ledger.position())
         };
         self.note_era(report.era, "peer");
+        let (limits, fleet) = self.answer_limits(&report);
         let mut view = self.view();
         view.note_reporter(now, &report);
         // Data of an earlier era are not newer, whenever they were read.
@@ -336,6 +337,8 @@
             load: view.load_aggregator.outside(now, &report.process, &own),
             strict_counts,
             wall_ms: self.wall_ms(),
+            limits,
+            fleet,
             knows_suspects: view.knows_suspects
                 && suspects.position == all_suspects
                 && part_suspects.position == all_parts,
@@ -386,6 +389,7 @@
             }
         }
         if from_hub {
+            self.apply_limits(from, sent_at, update.limits.as_ref(), update.fleet);
             self.view().load_aggregator.take_from_hub(now, update.load);
             self.table().take_strict_counts(now, &update.strict_counts);
             self.set_clock_skew(update.wall_ms as i64 - self.own_wall_ms() as i64);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,8 @@
 //! State that all requests and tasks of an entry share.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
@@ -18,6 +19,7 @@
     place::{DirectoryChange, EndpointDirectory, EndpointNotice, PlacedEndpoint, PlacementTable},
     reason::DecisionReason,
     retry::{self, RetryBudget, RetryCase, RetryDecision},
+    send_limit::LimitTable,
     suspect::{PartArchive, PartLedger, SuspectArchive, SuspectLedger, SuspectLimits},
     time::TimePoint,
 };
@@ -102,8 +104,10 @@
         for seed in &settings.seeds {
             roster.note_heard(clock::now(), *seed);
         }
+        let mut limits = LimitTable::new(process.incarnation);
+        limits.set_named_entries(named_entries(&settings));
         GatewayState {
-            table: Mutex::new(PlacementTable::new(&settings.domain)),
+            table: Mutex::new(PlacementTable::new(&settings.domain).with_limits(limits)),
             usage_counter: Mutex::new(UsageCounter::new(process.clone(), window_ms)),
             suspects: Mutex::new(SuspectLedger::new(process.incarnation, SuspectLimits::ungated())),
             archive: Mutex::new(SuspectArchive::new()),
@@ -358,6 +362,7 @@
         for seed in &settings.seeds {
             self.roster().note_heard(now, *seed);
         }
+        self.table().limits().set_named_entries(named_entries(settings));
         let new = (settings.retry_ratio, settings.retry_slack);
         *self.retry_allowance.lock().expect("no holder of the lock panics") = new;
     }
@@ -450,6 +455,12 @@
     }
 }
 
+/// Returns the number of entries that the settings name, including this one.
+fn named_entries(settings: &GatewaySettings) -> usize {
+    let others: HashSet<SocketAddr> = settings.seeds.iter().copied().collect();
+    others.len() + usize::from(!others.contains(&settings.peers))
+}
+
 /// Returns the name of a retry decision in metrics.
 fn retry_label(case: &RetryCase, decision: &RetryDecision) -> &'static str {
     match decision {
--- a/crates/kernel/benches/place.rs
+++ b/crates/kernel/benches/place.rs
@@ -34,6 +34,7 @@
         output_tokens: 300,
         needed_rate: 25.0,
         strict: false,
+        urgency: None,
         parts: vec![
             PromptPart { id: part, tokens: 5_000 },
             PromptPart { id: part + 1, tokens: 6_000 },
--- a/crates/kernel/src/place/diagnosis.rs
+++ b/crates/kernel/src/place/diagnosis.rs
@@ -14,6 +14,8 @@
     pub open: u32,
     /// Open endpoints that asked to be left alone.
     pub excluded: u32,
+    /// Open endpoints that name a limit.
+    pub limited: u32,
     /// Other open endpoints that are down.
     pub down: u32,
     /// Endpoints that are up but have too little free memory for the request.
@@ -29,17 +31,20 @@
 }
 
 impl PlacementDiagnosis {
-    /// Summarizes the open endpoints of a service; `has_memory` tells whether one has room.
+    /// Summarizes the open endpoints of a service; `has_memory` tells whether one has room, and
+    /// `is_limited` whether it names a limit.
     pub(super) fn new<'a>(
         now: TimePoint,
         request: &PlacedRequest,
         open: impl Iterator<Item = &'a EndpointState>,
         has_memory: impl Fn(&EndpointState) -> bool,
+        is_limited: impl Fn(&EndpointState) -> bool,
     ) -> PlacementDiagnosis {
         let mut diagnosis = PlacementDiagnosis::default();
         let mut least: Option<(f64, &EndpointState)> = None;
         for state in open {
             diagnosis.open += 1;
+            diagnosis.limited += u32::from(is_limited(state));
             if now < state.excluded_until {
                 diagnosis.excluded += 1;
                 continue;
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{route::hash_text, time::TimePoint};
+use crate::{route::hash_text, send_limit::LimitScope, time::TimePoint};
 
 /// Time after its last use for which a shared part counts as cached at an endpoint.
 const PART_LIFE: Duration = Duration::from_secs(30);
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Returns the key of the endpoint's limit.
+    pub(super) fn limit_scope(&self) -> LimitScope {
+        LimitScope::from_hash(self.hash)
+    }
+
     /// Returns the number of requests at the endpoint.
     ///
     /// The requests of other entries come from their load reports or, without a recent report, from
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -32,6 +32,8 @@
     /// Whether the request's class allows only short pauses; see
     /// [`strict_pauses`](super::strict_pauses).
     pub strict: bool,
+    /// Urgency of the request, 0 for the most urgent; `None` counts as the least urgent.
+    pub urgency: Option<u8>,
     /// Parts of the prompt in order; the last one belongs to this request alone.
     pub parts: Vec<PromptPart>,
 }
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -13,6 +13,7 @@
     },
     reason::DecisionReason,
     route::mix,
+    send_limit::{LimitScope, LimitTable},
     time::TimePoint,
 };
 
@@ -32,6 +33,10 @@
 /// for answers that are longer than expected.
 const USABLE_MEMORY_SHARE: f64 = 0.7;
 
+/// Number of limited endpoints for which one request asks for tickets. A request that none of them
+/// can take goes to any other endpoint, but asks for no more.
+const MAX_TICKET_WANTS: usize = 2;
+
 /// The endpoint chosen for a request, with the facts behind the choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlaceChoice {
@@ -54,10 +59,14 @@
     pub home_rank: Option<usize>,
     /// Age of the last report on other entries' requests; `None` if there was no report.
     pub others_age: Option<Duration>,
+    /// Time until which the request must be sent; `None` if the endpoint names no limit.
+    pub send_by: Option<TimePoint>,
+    /// Number of endpoints that were preferred, but have a limit that left no send.
+    pub limited: u32,
 }
 
 /// Tracks the endpoints that an entry may send to and chooses among them.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct PlacementTable {
     /// Failure domain of the entry.
     domain: Box<str>,
@@ -68,6 +77,15 @@
     memories: HashMap<Box<str>, u64>,
     /// Endpoints that asked to get no requests.
     exclusions: ExclusionTable,
+    /// Limits that endpoints name.
+    limits: LimitTable,
+}
+
+/// An endpoint that accepts a request, with its cost and what is preferred before the cost.
+struct RankedEndpoint {
+    order: (bool, bool),
+    cost: f64,
+    key: EndpointKey,
 }
 
 impl PlacementTable {
@@ -80,9 +98,15 @@
             pools: EndpointPools::default(),
             memories: HashMap::new(),
             exclusions: ExclusionTable::new(),
+            limits: LimitTable::new(0),
         }
     }
 
+    /// Sets the limits that endpoints name.
+    pub fn with_limits(self, limits: LimitTable) -> PlacementTable {
+        PlacementTable { limits, ..self }
+    }
+
     /// Adds an endpoint or updates a known one, and returns its key.
     pub fn put(&mut self, spec: PlacedEndpoint) -> EndpointKey {
         let excluded_until = self.exclusions.until(&spec.name, spec.started_ms);
@@ -127,6 +151,32 @@
         Some(until)
     }
 
+    /// Returns the limits that endpoints name.
+    pub fn limits(&mut self) -> &mut LimitTable {
+        &mut self.limits
+    }
+
+    /// Returns the name of the endpoint with a limit, if the endpoint is known.
+    pub fn limited_endpoint(&self, scope: LimitScope) -> Option<&str> {
+        let state = self.endpoints.values().find(|state| state.limit_scope() == scope)?;
+        Some(&state.spec.name)
+    }
+
+    /// Reports whether a request that was placed may be sent now. A limit may have been named
+    /// meanwhile, or the ticket may have expired.
+    pub fn may_send(&mut self, now: TimePoint, choice: &PlaceChoice, urgency: Option<u8>) -> bool {
+        let Some(state) = self.endpoints.get(choice.endpoint) else { return true };
+        let scope = state.limit_scope();
+        if now < state.excluded_until {
+            return false;
+        }
+        if !self.limits.is_limited(scope, state.spec.started_ms) {
+            return true;
+        }
+        choice.send_by.is_some_and(|send_by| now < send_by)
+            || self.limits.take(now, scope, urgency.unwrap_or(u8::MAX)).is_some()
+    }
+
     /// Reports whether an endpoint asked to get no requests now.
     pub fn is_excluded(&self, now: TimePoint, endpoint: EndpointKey) -> bool {
         self.endpoints.get(endpoint).is_some_and(|state| now < state.excluded_until)
@@ -194,23 +244,65 @@
         }
         let lightly_loaded = is_lightly_loaded(now, &open);
         let homes = self.homes(request, pool);
-        let best = open
-            .iter()
-            .map(|(key, state)| (*key, *state, self.uncached(now, *key, request, &homes)))
+        let count = open.len();
+        let accepting = open
+            .into_iter()
+            .map(|(key, state)| (key, state, self.uncached(now, key, request, &homes)))
             .filter(|(_, state, uncached)| {
                 self.accepts(now, state, request, *uncached, lightly_loaded)
             })
-            .map(|(key, state, uncached)| {
-                let order = (state.lapsed, state.is_quarantined(now));
-                (
-                    order,
-                    cost(now, state, request, uncached, *state.spec.domain != *self.domain),
-                    key,
-                )
+            .map(|(key, state, uncached)| RankedEndpoint {
+                order: (state.lapsed, state.is_quarantined(now)),
+                cost: cost(now, state, request, uncached, *state.spec.domain != *self.domain),
+                key,
             })
-            .min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("costs are numbers"));
-        let Some((_, cost, endpoint)) = best else { return Err(DecisionReason::QueueFull) };
-        Ok(self.choice(now, endpoint, cost, request, homes.rank(endpoint)))
+            .collect();
+        let (best, limited) = self.first_unlimited(now, request, accepting);
+        let Some((best, send_by)) = best else {
+            if limited.is_empty() || limited.len() < count {
+                return Err(DecisionReason::QueueFull);
+            }
+            let wait = self.limits.wait(now, limited.into_iter());
+            return Err(DecisionReason::EndpointsLimited { millis: wait.as_millis() as u64 });
+        };
+        let choice = self.choice(now, best.key, best.cost, request, homes.rank(best.key));
+        Ok(PlaceChoice { send_by, limited: limited.len() as u32, ..choice })
+    }
+
+    /// Returns the cheapest endpoint that has no limit, or whose limit leaves a send for the request,
+    /// with the time until which the request must be sent; and the endpoints before it that have a
+    /// limit which leaves none.
+    fn first_unlimited(
+        &mut self,
+        now: TimePoint,
+        request: &PlacedRequest,
+        mut accepting: Vec<RankedEndpoint>,
+    ) -> (Option<(RankedEndpoint, Option<TimePoint>)>, Vec<LimitScope>) {
+        let mut limited = Vec::new();
+        let rank = |endpoint: &RankedEndpoint| (endpoint.order, endpoint.cost);
+        loop {
+            let best = accepting
+                .iter()
+                .enumerate()
+                .min_by(|(_, a), (_, b)| rank(a).partial_cmp(&rank(b)).expect("costs are numbers"));
+            let Some(index) = best.map(|(index, _)| index) else { return (None, limited) };
+            let endpoint = accepting.swap_remove(index);
+            let state = &self.endpoints[endpoint.key];
+            let scope = state.limit_scope();
+            if !self.limits.is_limited(scope, state.spec.started_ms) {
+                return (Some((endpoint, None)), limited);
+            }
+            let urgency = request.urgency.unwrap_or(u8::MAX);
+            let send_by = if limited.len() < MAX_TICKET_WANTS {
+                self.limits.take(now, scope, urgency)
+            } else {
+                self.limits.take_spare(now, scope, urgency)
+            };
+            if send_by.is_some() {
+                return (Some((endpoint, send_by)), limited);
+            }
+            limited.push(scope);
+        }
     }
 
     /// Summarizes why [`choose`] found no endpoint for a request.
@@ -219,7 +311,11 @@
     pub fn diagnose(&self, now: TimePoint, request: &PlacedRequest) -> PlacementDiagnosis {
         let pool = self.pools.of(&request.service);
         let open = pool.iter().map(|key| &self.endpoints[*key]);
-        PlacementDiagnosis::new(now, request, open, |state| self.has_memory(now, state, request))
+        let has_memory = |state: &EndpointState| self.has_memory(now, state, request);
+        let is_limited = |state: &EndpointState| {
+            self.limits.is_limited(state.limit_scope(), state.spec.started_ms)
+        };
+        PlacementDiagnosis::new(now, request, open, has_memory, is_limited)
     }
 
     fn choice(
@@ -242,6 +338,8 @@
             strict: state.strict,
             home_rank,
             others_age: state.others.map(|(at, _)| now.since(at)),
+            send_by: None,
+            limited: 0,
         }
     }
 
--- a/crates/kernel/src/reason.rs
+++ b/crates/kernel/src/reason.rs
@@ -60,6 +60,11 @@
         /// Time until the first of them returns, in milliseconds.
         millis: u64,
     },
+    /// All endpoints that may run the request name a limit that leaves no send for it.
+    EndpointsLimited {
+        /// Time after which another attempt is worthwhile, in milliseconds.
+        millis: u64,
+    },
     /// The retry budget is used up.
     RetryBudgetSpent,
     /// The request was running during two crashes of endpoints; both may be crashes of the same
@@ -163,6 +168,9 @@
             DecisionReason::EndpointsExcluded { millis } => {
                 write!(f, "all endpoints asked to be left alone, the first one for {millis} ms")
             }
+            DecisionReason::EndpointsLimited { millis } => {
+                write!(f, "the limits of all endpoints are used up, try again in {millis} ms")
+            }
             DecisionReason::RetryBudgetSpent => write!(f, "the retry budget is used up"),
             DecisionReason::SuspectedOfCrashes => {
                 write!(f, "the request was running at two endpoints when they crashed")
--- /dev/null
+++ b/crates/kernel/src/send_limit/limit_scope.rs
@@ -0,0 +1,29 @@
+//! The key of what a limit holds for.
+
+use serde::{Deserialize, Serialize};
+
+use crate::route::hash_text;
+
+/// Identifies what a limit holds for, the same at all entries.
+///
+/// Today this is an endpoint. A service or a host would get a constructor of its own with another
+/// prefix of the hashed text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LimitScope(u64);
+
+impl LimitScope {
+    /// Returns the scope of the endpoint named `name`.
+    pub fn endpoint(name: &str) -> LimitScope {
+        LimitScope(hash_text(name))
+    }
+
+    /// Returns the scope of the endpoint whose name has this hash.
+    pub(crate) fn from_hash(hash: u64) -> LimitScope {
+        LimitScope(hash)
+    }
+
+    /// Returns the key as a number.
+    pub(crate) fn number(self) -> u64 {
+        self.0
+    }
+}
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -46,6 +46,7 @@
         output_tokens: 380,
         needed_rate: 25.0,
         strict: false,
+        urgency: None,
         parts: vec![
             PromptPart { id: part, tokens: 5_000 },
             PromptPart { id: part ^ 0xffff, tokens: 6_000 },
@@ -61,6 +62,7 @@
         output_tokens: 300,
         needed_rate: 25.0,
         strict: true,
+        urgency: None,
         parts: vec![
             PromptPart { id: part, tokens: 200 },
             PromptPart { id: part ^ 0xffff, tokens: 600 },
