--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -4,11 +4,17 @@
 
 use pimentorock_kernel::{
     hub::HubChoice,
-    send_limit::{EndpointAnswer, LimitAnswer, LimitReport, LimitScope, LimitWord},
+    send_limit::{EndpointAnswer, LimitAnswer, LimitScope, LimitWord},
     time::TimePoint,
 };
 
-use crate::{clock, logs::part, peer::EntryReport, state::GatewayState, work_guard::WorkGuard};
+use crate::{
+    clock,
+    logs::part,
+    peer::{EntryReport, LimitUpdate},
+    state::GatewayState,
+    work_guard::WorkGuard,
+};
 
 /// Longest delay of a report that the clocks of two entries show; a longer one is a difference of
 /// the clocks.
@@ -41,41 +47,48 @@
         self.log_limit_changes("");
     }
 
-    /// Returns the report on limits for the hub.
-    pub(crate) fn limit_report(&self) -> Option<LimitReport> {
-        self.table().limits().report(clock::now())
-    }
-
-    /// Applies what an asker reports of limits, and returns the answer and the size of the fleet.
-    pub(crate) fn answer_limits(&self, report: &EntryReport) -> (Option<LimitAnswer>, u32) {
-        let Some(group) = &report.group else { return (None, 0) };
+    /// Applies what an asker reports of limits, and returns what it lacks.
+    pub(crate) fn answer_limits(&self, report: &EntryReport) -> LimitUpdate {
         let (now, wall_ms) = (clock::now(), self.wall_ms());
+        let Some(group) = &report.group else {
+            let mut table = self.table();
+            let (news, knows) = (table.limits().news(now), table.limits().knows());
+            let answer = (!news.is_empty()).then(|| LimitAnswer { news, ..Default::default() });
+            return LimitUpdate { answer, fleet: 0, knows };
+        };
         let delay_ms = wall_ms.saturating_sub(report.wall_ms);
         let delay_ms = if delay_ms > MAX_REPORT_DELAY_MS { 0 } else { delay_ms };
         let answered = {
             let mut table = self.table();
             let limits = table.limits();
-            limits.note_group(now, &report.process, group.load.entries);
             let delay = Duration::from_millis(delay_ms);
+            limits.note_group(now, &report.process, group.present, delay);
             let known = group.limits.as_ref();
-            let answer = limits.answer(now, wall_ms, &report.process, known, delay);
-            (answer, limits.fleet(now))
+            let knows = group.knows_limits;
+            let answer = limits.answer(now, wall_ms, &report.process, known, knows, delay);
+            LimitUpdate { answer, fleet: limits.fleet(now), knows: limits.knows() }
         };
         self.log_limit_changes("");
         answered
     }
 
-    /// Applies the hub's answer to a report that was sent at `sent_at`.
+    /// Applies the answer of an entry to a report that was sent at `sent_at`; only a hub gives tickets.
     pub(crate) fn apply_limits(
         &self,
-        hub: SocketAddr,
+        from: SocketAddr,
         sent_at: TimePoint,
-        answer: Option<&LimitAnswer>,
-        fleet: u32,
+        update: &LimitUpdate,
+        from_hub: bool,
     ) {
         let (now, wall_ms) = (clock::now(), self.wall_ms());
-        let hub = HubChoice::Peer(hub);
-        self.table().limits().apply_answer(now, wall_ms, hub, sent_at, answer, fleet);
+        let answer = update.answer.as_ref();
+        if from_hub {
+            let (hub, told) = (HubChoice::Peer(from), (update.fleet, update.knows));
+            self.table().limits().apply_answer(now, wall_ms, hub, sent_at, answer, told);
+        } else {
+            let news = answer.map_or(&[][..], |answer| &answer.news);
+            self.table().limits().apply_news(now, wall_ms, sent_at, news, update.knows);
+        }
         self.log_limit_changes("");
     }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -116,6 +116,21 @@
     pub(crate) load: GroupLoad,
     /// Limits that endpoints name, and the group's tickets; `None` if none is known.
     pub(crate) limits: Option<LimitReport>,
+    /// Whether the sender knows the limits that the fleet knows.
+    pub(crate) knows_limits: bool,
+    /// Number of entries of the group, the sender included, that reported just now.
+    pub(crate) present: u32,
+}
+
+/// What a hub tells an entry of its group about limits that endpoints name.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LimitUpdate {
+    /// Limits that changed, and tickets for the group; `None` if no limit is known.
+    pub(crate) answer: Option<LimitAnswer>,
+    /// Number of entries of the fleet, as the root hub counts them; 0 if unknown.
+    pub(crate) fleet: u32,
+    /// Whether the hub knows the limits that the fleet knows.
+    pub(crate) knows: bool,
 }
 
 /// The answer to an [`EntryReport`].
@@ -145,11 +160,8 @@
     pub(crate) suspects: SuspectDelta,
     /// Histories of prompt parts that changed since the position that the report stated.
     pub(crate) part_suspects: PartDelta,
-    /// Limits that changed, and tickets for the reporting entry's group; `None` if no limit is known or
-    /// the report was not one of a group.
-    pub(crate) limits: Option<LimitAnswer>,
-    /// Number of entries of the fleet, as the root hub counts them; 0 if unknown.
-    pub(crate) fleet: u32,
+    /// What the reporting entry lacks of limits.
+    pub(crate) limits: LimitUpdate,
     /// Whether the reporting entry, after `suspects` and `part_suspects`, knows all suspects that the store has.
     pub(crate) knows_suspects: bool,
 }
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -4,7 +4,7 @@
 
 use pimentorock_kernel::{
     hub::{
-        HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
+        GroupLoad, HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
         StoreFollower,
     },
     time::TimePoint,
@@ -247,11 +247,23 @@
         let own = self.table().own_load();
         let load = self.view().load_aggregator.group(clock::now(), &own);
         EntryReport {
-            group: Some(GroupReport { load, limits: self.limit_report() }),
+            group: Some(self.group_report(load)),
             ..self.announcement(shares, wants_entries, known)
         }
     }
 
+    fn group_report(&self, load: GroupLoad) -> GroupReport {
+        let now = clock::now();
+        let mut table = self.table();
+        let limits = table.limits();
+        GroupReport {
+            load,
+            limits: limits.report(now),
+            knows_limits: limits.knows(),
+            present: limits.group_entries(now),
+        }
+    }
+
     /// Returns a report for an entry that is not the hub, without load.
     ///
     /// `known` tells which changes of the suspects both sides have.
@@ -307,7 +319,7 @@
             (ledger.changes_since(now, report.part_suspects_seen), ledger.position())
         };
         self.note_era(report.era, "peer");
-        let (limits, fleet) = self.answer_limits(&report);
+        let limits = self.answer_limits(&report);
         let mut view = self.view();
         view.note_reporter(now, &report);
         // Data of an earlier era are not newer, whenever they were read.
@@ -338,7 +350,6 @@
             strict_counts,
             wall_ms: self.wall_ms(),
             limits,
-            fleet,
             knows_suspects: view.knows_suspects
                 && suspects.position == all_suspects
                 && part_suspects.position == all_parts,
@@ -388,8 +399,8 @@
                 view.note_passed_on(now, from, current, update.reader);
             }
         }
+        self.apply_limits(from, sent_at, &update.limits, from_hub);
         if from_hub {
-            self.apply_limits(from, sent_at, update.limits.as_ref(), update.fleet);
             self.view().load_aggregator.take_from_hub(now, update.load);
             self.table().take_strict_counts(now, &update.strict_counts);
             self.set_clock_skew(update.wall_ms as i64 - self.own_wall_ms() as i64);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -236,10 +236,11 @@
     }
 
     /// Reports whether this host should receive new connections: it has a configuration and
-    /// endpoints, knows the suspects, and is not draining.
+    /// endpoints, knows the suspects and the limits of endpoints, and is not draining.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.routes.load().is_some() && !self.directory().is_empty();
-        known && self.view().knows_suspects && !self.draining.load(Ordering::Relaxed)
+        let knows_others = self.view().knows_suspects && self.table().limits().knows();
+        known && knows_others && !self.draining.load(Ordering::Relaxed)
     }
 
     /// Applies a configuration if it is newer than the current one.
--- a/crates/kernel/src/send_limit/fleet_share.rs
+++ b/crates/kernel/src/send_limit/fleet_share.rs
@@ -36,6 +36,11 @@
         self.named = entries.max(1);
     }
 
+    /// Reports whether the settings name no entry but this one.
+    pub(super) fn names_none(&self) -> bool {
+        self.named == 1
+    }
+
     /// Notes the number of entries that the root hub told.
     pub(super) fn note_told(&mut self, now: TimePoint, entries: u32) {
         self.counts.clear();
--- a/crates/kernel/src/send_limit/limit_exchange.rs
+++ b/crates/kernel/src/send_limit/limit_exchange.rs
@@ -31,6 +31,7 @@
         Some(LimitReport {
             term: self.term,
             seen: self.of_hub,
+            is_full: self.by_hub.changes == 0 && keys.len() < MAX_NEWS,
             news: self.rows(now, &keys),
             holdings: self.holdings(now),
         })
@@ -66,15 +67,18 @@
 
     /// Applies the report of an asker and returns the answer; `None` if there is no limit.
     ///
-    /// `delay` is the time that the report was under way, as far as it is known.
+    /// `delay` is the time that the report was under way, as far as it is known, and `knows` tells
+    /// whether the asker knows the limits that the fleet knows.
     pub fn answer(
         &mut self,
         now: TimePoint,
         wall_ms: u64,
         asker: &ProcessId,
         report: Option<&LimitReport>,
+        knows: bool,
         delay: Duration,
     ) -> Option<LimitAnswer> {
+        self.note_met(knows, report.is_none_or(|report| report.is_full));
         let base = AgeBase { at: now - delay, wall_ms };
         for row in report.map_or(&[][..], |report| &report.news) {
             self.note_row(now, row, base);
@@ -93,7 +97,29 @@
         })
     }
 
-    /// Applies what an asker knows of a limit.
+    /// Returns what this entry knows of limits, for an entry that is not one of its askers.
+    pub fn news(&self, now: TimePoint) -> Vec<LimitRow> {
+        let (_, keys) = self.answers.since(LedgerPosition::default(), MAX_NEWS);
+        self.rows(now, &keys)
+    }
+
+    /// Applies what an entry that is not the hub knows of limits, as of `sent_at`.
+    pub fn apply_news(
+        &mut self,
+        now: TimePoint,
+        wall_ms: u64,
+        sent_at: TimePoint,
+        news: &[LimitRow],
+        knows: bool,
+    ) {
+        self.note_met(knows, true);
+        let wall_ms = wall_ms.saturating_sub(now.since(sent_at).as_millis() as u64);
+        for row in news {
+            self.note_row(now, row, AgeBase { at: sent_at, wall_ms });
+        }
+    }
+
+    /// Applies what an asker or another entry that is not the hub knows of a limit.
     fn note_row(&mut self, now: TimePoint, row: &LimitRow, base: AgeBase) {
         let record = LimitRecord::from_row(row, base);
         let known = self.limits.get(&row.scope).map(|state| state.record.clone());
@@ -130,7 +156,8 @@
     }
 
     /// Applies the hub's answer to the report that was sent at `sent_at`; `fleet` is the size of the
-    /// fleet that the hub told, or 0.
+    /// fleet that the hub told, or 0, and `knows` tells whether the hub knows the limits that the fleet
+    /// knows.
     ///
     /// Answers of another entry than the hub, and answers that come twice or late, are ignored.
     pub fn apply_answer(
@@ -140,11 +167,12 @@
         hub: HubChoice,
         sent_at: TimePoint,
         answer: Option<&LimitAnswer>,
-        fleet: u32,
+        (fleet, knows): (u32, bool),
     ) {
         if hub != self.role || hub == HubChoice::Own {
             return;
         }
+        self.note_met(knows, true);
         if fleet > 0 {
             self.told = Some((now, fleet));
             self.share.note_told(now, fleet);
@@ -181,6 +209,8 @@
 
     fn note_hub_row(&mut self, now: TimePoint, row: &LimitRow, base: AgeBase) {
         let record = LimitRecord::from_row(row, base);
+        // The next hub may not know of it.
+        self.answers.note(row.scope.number());
         if !row.ended {
             return self.note_named(now, row.scope, &record, LimitEvidence::Peer);
         }
--- a/crates/kernel/src/send_limit/limit_report.rs
+++ b/crates/kernel/src/send_limit/limit_report.rs
@@ -48,6 +48,8 @@
     pub seen: LedgerPosition,
     /// Limits of which the entry or its askers got newer answers than the hub has.
     pub news: Vec<LimitRow>,
+    /// Whether `news` has all limits that the entry knows.
+    pub is_full: bool,
     /// Tickets that the entry and its askers used and want.
     pub holdings: Vec<HoldingRow>,
 }
--- a/crates/kernel/src/send_limit/limit_table.rs
+++ b/crates/kernel/src/send_limit/limit_table.rs
@@ -7,12 +7,13 @@
 };
 
 use crate::{
-    hub::HubChoice,
+    hub::{HubChoice, exchange_period},
     ids::ProcessId,
     send_limit::{
         EndpointAnswer, HoldingRow, LimitChange, LimitEvidence, LimitScope, LimitWord,
         demand_meter::DemandMeter,
         fleet_share::FleetShare,
+        group_count::GroupCount,
         limit_record::{AgeBase, LimitRecord},
         ticket_pool::TicketPool,
         want_list::{RESERVE_RANK, WantList},
@@ -21,16 +22,29 @@
     time::TimePoint,
 };
 
-/// Time after which an asker that does not report is no longer counted.
-const PRESENCE_LIFE: Duration = Duration::from_secs(2);
+/// Shortest and longest time after which a group that does not report is no longer counted.
+const MIN_GROUP_LIFE: Duration = Duration::from_millis(800);
+const MAX_GROUP_LIFE: Duration = Duration::from_secs(2);
 
-/// Time from which a new root hub hands out its share although most of the fleet has not reported to
-/// it. By then its predecessor, if it lives and is cut off, no longer counts those that left it.
-const TAKEOVER_TIME: Duration = PRESENCE_LIFE;
+/// The same as a multiple of the time between two reports in a fleet of one failure domain.
+const GROUP_LIFE_PERIODS: u32 = 3;
+
+/// Time for which a count of the fleet is used.
+const COUNT_LIFE: Duration = Duration::from_millis(20);
+
+/// Time for which the size of the fleet is passed on after the hub told it.
+const TOLD_LIFE: Duration = Duration::from_secs(2);
+
+/// Time after its start from which a root hub takes the limits for known that it was told, if the
+/// entries that it met do not know more.
+const ROOT_LEARN_TIME: Duration = Duration::from_millis(600);
+
+/// The same for any entry that met none.
+const LEARN_TIME: Duration = Duration::from_secs(3);
 
 /// Time between two steps after which a root hub was suspended and another one may have taken its
-/// place.
-const SUSPENDED_TIME: Duration = PRESENCE_LIFE;
+/// place. Two exchanges that fail and the time between two steps are shorter.
+const SUSPENDED_TIME: Duration = Duration::from_millis(1200);
 
 /// Shortest time ahead for which an entry wants tickets.
 const MIN_HORIZON: Duration = Duration::from_secs(1);
@@ -100,13 +114,22 @@
     pub(super) role: HubChoice,
     /// Number of the current role; tickets are accounted for within one.
     pub(super) term: u32,
+    /// Time of the first step.
+    started_at: Option<TimePoint>,
+    /// Whether this entry knows the limits that the fleet knows.
+    knows: bool,
+    /// Whether this entry exchanged messages with another one since its start.
+    met_any: bool,
     /// When this entry took on its role.
     pub(super) role_since: TimePoint,
     /// Time of the last step as the root hub.
     stepped_at: TimePoint,
     pub(super) share: FleetShare,
-    /// Entries of the groups that report to this entry, with the time of their last report.
-    groups: BTreeMap<Box<str>, (TimePoint, u32)>,
+    /// Entries of the groups that report to this entry.
+    groups: BTreeMap<Box<str>, GroupCount>,
+    /// When the fleet was counted last, and the part of each limit to hand out that follows.
+    counted_at: Option<TimePoint>,
+    root_share: Option<f64>,
     /// Size of the fleet that the hub told last, with the time.
     pub(super) told: Option<(TimePoint, u32)>,
     /// Position in the hub's changes that this entry has reached.
@@ -133,10 +156,15 @@
             answers: ChangeLog::new(incarnation),
             role: HubChoice::Own,
             term: 0,
+            started_at: None,
+            knows: false,
+            met_any: false,
             role_since: TimePoint::ZERO,
             stepped_at: TimePoint::ZERO,
             share: FleetShare::new(),
             groups: BTreeMap::new(),
+            counted_at: None,
+            root_share: None,
             told: None,
             of_hub: LedgerPosition::default(),
             by_hub: LedgerPosition::default(),
@@ -161,14 +189,20 @@
         self.horizon = MIN_HORIZON.max(2 * period);
         let was_suspended = now.since(self.stepped_at) >= SUSPENDED_TIME;
         self.stepped_at = now;
+        if was_suspended {
+            // The askers may have another hub by now.
+            self.groups.clear();
+        }
         if hub != self.role || (hub == HubChoice::Own && was_suspended) {
             self.enter_role(now, hub);
         }
-        if hub == HubChoice::Own {
-            let present = self.present(now);
-            self.share.note_counted(now, present);
-        }
+        let since_start = now.since(*self.started_at.get_or_insert(now));
+        let is_informed_root = hub == HubChoice::Own && (self.met_any || self.share.names_none());
+        self.knows |=
+            since_start >= LEARN_TIME || (is_informed_root && since_start >= ROOT_LEARN_TIME);
+        self.counted_at = None;
         self.forget(now);
+        self.usable_share(now);
         let (horizon, scopes) = (self.horizon, self.scopes());
         for scope in scopes {
             self.refresh(now, scope);
@@ -194,7 +228,7 @@
     /// Brings the tickets for one limit up to date.
     pub(super) fn refresh(&mut self, now: TimePoint, scope: LimitScope) {
         let (term, mints) = (self.term, self.role == HubChoice::Own);
-        let share = if mints { self.usable_share(now) } else { None };
+        let share = self.usable_share(now);
         let Some(state) = self.limits.get_mut(&scope) else { return };
         state.pool.enter_term(term, mints);
         match share {
@@ -209,27 +243,61 @@
         }
     }
 
-    /// Returns the part of each limit that this entry hands out as the root hub; `None` while its
-    /// predecessor may still do so.
-    pub(super) fn usable_share(&mut self, now: TimePoint) -> Option<f64> {
-        if now.since(self.stepped_at) >= SUSPENDED_TIME {
+    /// Returns the part of each limit that this entry hands out as the root hub; `None` if it is none,
+    /// or while its predecessor may still do so.
+    fn usable_share(&mut self, now: TimePoint) -> Option<f64> {
+        let is_suspended = now.since(self.stepped_at) >= SUSPENDED_TIME;
+        if self.role != HubChoice::Own || is_suspended {
             return None;
         }
-        let present = self.present(now);
-        let has_most = 2 * present > self.share.known(now);
-        let took_over = has_most || now.since(self.role_since) >= TAKEOVER_TIME;
-        took_over.then(|| self.share.of(now, present))
+        if self.counted_at.is_none_or(|at| now.since(at) >= COUNT_LIFE) {
+            self.counted_at = Some(now);
+            self.root_share = self.count_share(now);
+        }
+        self.root_share
+    }
+
+    /// Counts the fleet as its root hub, and returns the part of each limit to hand out.
+    fn count_share(&mut self, now: TimePoint) -> Option<f64> {
+        let life = self.group_life(now);
+        self.groups.retain(|_, group| group.is_present(now, life));
+        let groups = self.groups.values();
+        let present = groups.fold(1_u32, |sum, group| sum.saturating_add(group.entries(now, life)));
+        self.share.note_counted(now, present);
+        // Until then the predecessor, if it lives, may count this entry.
+        (now.since(self.role_since) >= life).then(|| self.share.of(now, present))
+    }
+
+    /// Returns the time after which a group that does not report is no longer counted. All entries
+    /// that remember the same fleet determine the same time.
+    fn group_life(&mut self, now: TimePoint) -> Duration {
+        let known = self.share.known(now) as usize;
+        (GROUP_LIFE_PERIODS * exchange_period(known)).clamp(MIN_GROUP_LIFE, MAX_GROUP_LIFE)
+    }
+
+    /// Returns the number of entries of this entry's group: itself and those that report to it.
+    pub fn group_entries(&mut self, now: TimePoint) -> u32 {
+        let life = self.group_life(now);
+        self.groups.retain(|_, group| group.is_present(now, life));
+        self.groups.values().fold(1, |sum, group| sum.saturating_add(group.newest()))
+    }
+
+    /// Notes that an asker whose group has `entries` entries reported, `delay` before now.
+    pub fn note_group(&mut self, now: TimePoint, asker: &ProcessId, entries: u32, delay: Duration) {
+        let life = self.group_life(now);
+        self.groups.entry(asker.name.clone()).or_default().note(now - delay, entries, life);
     }
 
-    /// Notes that an asker whose group has `entries` entries reported.
-    pub fn note_group(&mut self, now: TimePoint, asker: &ProcessId, entries: u32) {
-        self.groups.insert(asker.name.clone(), (now, entries));
+    /// Reports whether this entry knows the limits that the fleet knows.
+    pub fn knows(&self) -> bool {
+        self.knows
     }
 
-    /// Returns the number of entries that report to this one or to its askers, and itself.
-    pub(super) fn present(&mut self, now: TimePoint) -> u32 {
-        self.groups.retain(|_, (at, _)| now.since(*at) < PRESENCE_LIFE);
-        self.groups.values().fold(1, |sum, (_, entries)| sum.saturating_add(*entries))
+    /// Notes a message of another entry. `knows` tells whether that entry knows the limits that the
+    /// fleet knows, and `is_full` whether it told all that it knows.
+    pub(super) fn note_met(&mut self, knows: bool, is_full: bool) {
+        self.met_any |= is_full || !knows;
+        self.knows |= is_full && knows;
     }
 
     /// Returns the size of the fleet for the askers; 0 if unknown.
@@ -237,7 +305,7 @@
         match self.role {
             HubChoice::Own => self.share.steady(now).unwrap_or(0),
             HubChoice::Peer(_) => {
-                let told = self.told.filter(|(at, _)| now.since(*at) < PRESENCE_LIFE);
+                let told = self.told.filter(|(at, _)| now.since(*at) < TOLD_LIFE);
                 told.map_or(0, |(_, entries)| entries)
             }
         }
--- a/crates/kernel/src/send_limit/mod.rs
+++ b/crates/kernel/src/send_limit/mod.rs
@@ -31,8 +31,9 @@
 //! scales rate and burst by its part of the entries that it remembers from the last 15 minutes, so
 //! the parts together keep the bound. What the bound does not cover:
 //!
-//! * A root hub that lives, but is cut off, counts the entries that left it for up to 2 s more, while
-//!   its successor may already have most of the fleet: `2 s * r` more for each such hub.
+//! * When another root hub appears while the old one lives, an entry that changes between them may
+//!   count at both for up to 2 s: at most `2 s * r` more each time. A root hub that was suspended or
+//!   cut off adds the tickets that it holds; these sends are its own, since its askers have left it.
 //! * An entry that has just started knows of no limit until its first exchange with its hub, or its
 //!   first answer from the endpoint. If it cannot reach the others then, it takes the fleet for as
 //!   large as the number of entries that its settings name.
@@ -51,6 +52,7 @@
 mod demand_meter;
 mod endpoint_answer;
 mod fleet_share;
+mod group_count;
 mod holder_account;
 mod limit_answer;
 mod limit_change;
--- a/crates/kernel/src/send_limit/ticket_batch.rs
+++ b/crates/kernel/src/send_limit/ticket_batch.rs
@@ -7,6 +7,9 @@
 /// Time from the issue of a ticket until it expires.
 pub(super) const TICKET_LIFE: Duration = Duration::from_secs(2);
 
+/// Time before a ticket expires from which requests of any rank may use it.
+const FREE_TIME: Duration = Duration::from_millis(500);
+
 /// Tickets that expire together; each allows one send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct TicketBatch {
@@ -20,9 +23,9 @@
 
 impl TicketBatch {
     /// Reports whether a request of `rank` may use a ticket: it is meant for requests of this rank
-    /// or of a less urgent one, or has waited for a more urgent one for half of its life.
+    /// or of a less urgent one, or waited for a more urgent one for most of its life.
     pub(super) fn allows(&self, now: TimePoint, rank: u8) -> bool {
-        self.rank >= rank || now + TICKET_LIFE / 2 >= self.expires
+        self.rank >= rank || now + FREE_TIME >= self.expires
     }
 
     pub(super) fn is_expired(&self, now: TimePoint) -> bool {
--- a/crates/kernel/src/send_limit/ticket_pool.rs
+++ b/crates/kernel/src/send_limit/ticket_pool.rs
@@ -28,8 +28,8 @@
     mints: bool,
     /// Tickets that were minted and neither issued nor reserved.
     minted: f64,
-    /// Time up to which tickets were minted; `None` while none are.
-    minted_until: Option<TimePoint>,
+    /// Time up to which tickets were minted, and the rate at that time; `None` while none are.
+    minted_until: Option<(TimePoint, f64)>,
     /// Tickets of the hub that were neither issued nor reserved.
     stock: Vec<TicketBatch>,
     /// Tickets for this entry's own requests.
@@ -56,9 +56,11 @@
     /// used.
     pub(super) fn mint(&mut self, now: TimePoint, rate: f64, burst: f64) {
         self.expire(now);
-        let since = self.minted_until.replace(now).unwrap_or(now);
+        let (since, before) = self.minted_until.replace((now, rate)).unwrap_or((now, rate));
         let room = (burst - f64::from(self.outstanding())).max(0.0);
-        self.minted = (self.minted + rate * now.since(since).as_secs_f64()).min(room);
+        // When a rate changed in the meantime is not known; the lower one is safe.
+        let minted = rate.min(before) * now.since(since).as_secs_f64();
+        self.minted = (self.minted + minted).min(room);
     }
 
     /// Mints nothing until the next call of [`mint`](TicketPool::mint), not even for the time until
