--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -104,7 +104,7 @@
                 target: part::REQUEST,
                 endpoint = table.limited_endpoint(change.scope).unwrap_or_default(),
                 limit = change.limit.unwrap_or(-1.0), share = held,
-                evidence = change.evidence.label(), request = request,
+                evidence = change.evidence.label(), answer_to = request,
                 age_ms = change.age.as_millis() as u64;
                 "endpoint limit changed"
             );
--- a/crates/kernel/tests/limit_fleet.rs
+++ b/crates/kernel/tests/limit_fleet.rs
@@ -19,6 +19,9 @@
 /// Time for which entries that change between root hubs may count at both, in seconds.
 const ROOT_CHANGE_TIME: f64 = 2.0;
 
+/// Bytes a second that all of control may cost an entry.
+const BYTES_PER_SECOND: u64 = 12_000;
+
 const CALM: FaultRates = FaultRates { lost: 0, late: 0, doubled: 0 };
 const ROUGH: FaultRates = FaultRates { lost: 3, late: 100, doubled: 100 };
 const SEVERE: FaultRates = FaultRates { lost: 30, late: 200, doubled: 200 };
@@ -291,3 +294,54 @@
     fleet.run(secs(8));
     check_bound(&fleet, 2.0, from, 4);
 }
+
+/// All messages come twice: no ticket may be used twice, and no use may count twice.
+#[test]
+fn messages_that_come_twice_do_not_double_the_sends() {
+    for limit in [8.0, 60.0] {
+        let faults = FaultRates { doubled: 1_000, ..CALM };
+        let spec = FleetSpec { faults, ..spec(16, 400.0) };
+        let mut fleet = LimitSimulation::new(6, spec, 1);
+        fleet.run(secs(3));
+        let from = name_limit(&mut fleet, limit);
+        fleet.run(secs(20));
+        check_bound(&fleet, limit, from, 6);
+        check_use(&fleet, limit, from, 6);
+    }
+}
+
+/// Entries with few requests hold tickets that they hardly ever use; these must not add up until
+/// requests come at all entries at once.
+#[test]
+fn tickets_that_were_not_used_do_not_add_up() {
+    for (entries, limit) in [(16, 2.0), (ENTRIES, 20.0)] {
+        let spec = FleetSpec { share_of_few: 0.1, ..spec(entries, 0.1 * entries as f64) };
+        let mut fleet = LimitSimulation::new(8, spec, 1);
+        fleet.run(secs(5));
+        fleet.burst(1);
+        let from = name_limit(&mut fleet, limit);
+        for _ in 0..6 {
+            fleet.run(secs(10));
+            fleet.burst(3);
+        }
+        fleet.run(secs(2));
+        check_bound(&fleet, limit, from, 8);
+    }
+}
+
+/// Hundreds of limits must leave the exchange within what control may cost an entry.
+#[test]
+fn hundreds_of_limits_cost_few_bytes() {
+    let mut fleet = LimitSimulation::new(2, spec(ENTRIES, 2_800.0), 300);
+    fleet.run(secs(2));
+    let before = fleet.bytes;
+    fleet.run(secs(5));
+    let idle = (fleet.bytes - before) / 5 / ENTRIES as u64;
+    assert!(idle <= 16, "{idle} bytes a second without limits");
+    fleet.endpoints.iter_mut().for_each(|endpoint| endpoint.limit = Some(2.0));
+    fleet.run(secs(5));
+    let before = fleet.bytes;
+    fleet.run(secs(5));
+    let busy = (fleet.bytes - before) / 5 / ENTRIES as u64;
+    assert!(busy <= BYTES_PER_SECOND, "{busy} bytes a second with 300 limits");
+}
--- a/crates/kernel/tests/limit_simulation/mod.rs
+++ b/crates/kernel/tests/limit_simulation/mod.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bincode::Options;
 use pimentorock_kernel::{
     hub::{HubChoice, exchange_period},
     send_limit::{EndpointAnswer, LimitAnswer, LimitReport, LimitScope, LimitWord},
@@ -28,6 +29,9 @@
 /// Time after a fault of an entry for which it is excused, in milliseconds.
 const EXCUSED_TIME: u64 = 4_000;
 
+/// Time after which an entry forgets one that it does not hear of, in milliseconds.
+const ENTRY_LIFE: u64 = 6_000;
+
 /// Time between two entries that a root hub asks, in milliseconds.
 const ANNOUNCE_PERIOD: u64 = 2_000;
 
@@ -93,6 +97,8 @@
     pub entries: Vec<SimulatedEntry>,
     /// Times at which an entry became a root hub, or one was cut off or ran again after it was suspended.
     pub root_changes: Vec<u64>,
+    /// Bytes of all messages on limits so far.
+    pub bytes: u64,
     events: BinaryHeap<Reverse<(u64, u64)>>,
     bodies: BTreeMap<u64, FleetEvent>,
     sequence: u64,
@@ -109,6 +115,7 @@
             endpoints: (0..endpoints).map(SimulatedEndpoint::new).collect(),
             entries: Vec::new(),
             root_changes: Vec::new(),
+            bytes: 0,
             events: BinaryHeap::new(),
             bodies: BTreeMap::new(),
             sequence: 0,
@@ -228,12 +235,21 @@
         self.entries[one].part == self.entries[other].part
     }
 
+    /// Reports whether an entry has heard of another one lately, by itself or by others.
+    fn is_known(&self, entry: usize, other: usize) -> bool {
+        let faults = [entry, other].map(|entry| self.entries[entry].faulty_at.unwrap_or(0));
+        let is_running = self.entries[other].is_alive && self.connects(entry, other);
+        is_running || faults.iter().any(|at| self.now < at + ENTRY_LIFE)
+    }
+
     /// The hub of an entry: the first entry of its domain that it does not think lost, or the first
     /// entry of all.
     fn hub(&self, entry: usize) -> Option<usize> {
         let own = &self.entries[entry];
-        let is_reachable =
-            |other: &usize| own.quarantined.get(other).is_none_or(|until| *until <= self.now);
+        let is_reachable = |other: &usize| {
+            let is_tried = own.quarantined.get(other).is_none_or(|until| *until <= self.now);
+            is_tried && self.is_known(entry, *other)
+        };
         let before: Vec<usize> = (0..entry).filter(is_reachable).collect();
         let local = before.iter().find(|other| self.entries[**other].domain == own.domain);
         local.or(before.first()).copied()
@@ -274,6 +290,7 @@
         let sent = self.now;
         self.entries[entry].awaited = Some(sent);
         self.push(EXCHANGE_TIMEOUT, FleetEvent::Timeout { entry, hub, run, sent });
+        self.bytes += encoded_len(&report.limits);
         let event = FleetEvent::Report { from: entry, to: hub, run, sent, report };
         self.send(entry, hub, event);
     }
@@ -332,6 +349,7 @@
         let (limits, knows) = (report.limits.as_ref(), report.knows);
         let limits = hub.table.answer(now, self.now, &asker, limits, knows, delay);
         let (fleet, knows) = (hub.table.fleet(now), hub.table.knows());
+        self.bytes += encoded_len(&limits);
         let answer = SimulatedAnswer { limits, fleet, knows };
         self.send(to, from, FleetEvent::Answer { to: from, from: to, run, sent, answer });
     }
@@ -393,6 +411,13 @@
         self.push(head, event);
     }
 
+    /// Lets `count` requests arrive at each entry at once.
+    pub fn burst(&mut self, count: usize) {
+        for _ in 0..count {
+            (0..self.spec.entries).for_each(|entry| self.request(entry));
+        }
+    }
+
     /// Kills an entry.
     pub fn kill(&mut self, entry: usize) {
         self.entries[entry].is_alive = false;
@@ -435,6 +460,11 @@
     }
 }
 
+/// Returns the length of a message as entries encode it.
+fn encoded_len(message: &impl serde::Serialize) -> u64 {
+    bincode::DefaultOptions::new().serialized_size(message).unwrap()
+}
+
 fn scope(endpoint: usize) -> LimitScope {
     LimitScope::endpoint(&format!("i-{endpoint}"))
 }
