Revive a limit that ended before a naming answer of the same second was heard of; split the choice and the dispatcher

An end that the root hub decided on one entry's answer stayed, although another entry had got an answer with the limit within the second before; the order of the two is not certain then. The record now ends only if it would with that answer known (limit_exchange: the_root_hub_alone_ends_a_limit failed before).

The choice among limited endpoints, the log lines of a choice and the refusals for crashes move to files of their own, without a change.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -7,17 +7,17 @@
 use http_body_util::Full;
 use pimentorock_kernel::{
     ids::EndpointKey,
-    place::{EndpointNotice, PlaceChoice, PlacementDiagnosis},
+    place::{EndpointNotice, PlaceChoice},
     reason::DecisionReason,
     request::RunOutcome,
     retry::{RetryCase, RetryDecision},
-    suspect::{LostRun, PartVerdict, SuspectVerdict},
-    time::TimePoint,
+    suspect::{LostRun, PartVerdict},
 };
 
 use crate::{
     body_framing::BodyFraming,
     caller_request::CallerRequest,
+    choice_log::limit_decision,
     clock,
     connection::{ConnectionBody, ConnectionError, HttpConnection},
     crash_checks::{self, EndpointInstance},
@@ -47,15 +47,15 @@
 pub(crate) struct RequestDispatcher {
     pub(crate) state: Arc<GatewayState>,
     pub(crate) request: Arc<CallerRequest>,
-    fingerprint: u64,
+    pub(crate) fingerprint: u64,
     /// Keys of the parts of the prompt, in order.
-    parts: Box<[u64]>,
+    pub(crate) parts: Box<[u64]>,
     /// Whether the next send is made although a part of the prompt is suspected.
     excused: bool,
     /// Endpoints that failed this request and are not chosen for it again.
-    excluded: Vec<EndpointKey>,
+    pub(crate) excluded: Vec<EndpointKey>,
     /// Number of sends so far.
-    sends: u32,
+    pub(crate) sends: u32,
     /// Number of sends that did not reach an endpoint.
     unreached: u32,
     /// Number of sends after which the request may have run.
@@ -252,104 +252,10 @@
         })
     }
 
-    fn log_not_placed(&self, reason: &DecisionReason, diagnosis: &PlacementDiagnosis) {
-        log::info!(
-            target: part::REQUEST,
-            request = &*self.request.id, service = &*self.request.placement.service,
-            reason = reason.to_string(), open = diagnosis.open, down = diagnosis.down,
-            excluded = self.excluded.len(), resting = diagnosis.excluded, limited = diagnosis.limited, short_of_memory = diagnosis.short_of_memory,
-            least_load = diagnosis.least_load, load_limit = diagnosis.load_limit,
-            others_age_ms = diagnosis.others_age.map_or(-1, |age| age.as_millis() as i64),
-            prompt_tokens = self.request.placement.prompt_tokens;
-            "request not placed"
-        );
-    }
-
-    /// Reports whether the request itself must not run because of its crashes.
-    ///
-    /// Crashes that a suspected prompt part of other requests explains do not count.
-    fn is_refused(&self, now: TimePoint) -> bool {
-        let (crashes, limit) = {
-            let suspects = self.state.suspects();
-            if suspects.verdict(now, self.fingerprint) != SuspectVerdict::Refuse {
-                return false;
-            }
-            let crashes = suspects.table().crashes(self.fingerprint).to_vec();
-            (crashes, suspects.table().limits().crashes_of_sole_suspect)
-        };
-        let part_suspects = self.state.part_suspects();
-        let table = part_suspects.table();
-        let unexplained = crashes.iter().filter(|crash| {
-            crash.counts_against()
-                && !table.is_explained(&crash.endpoint, crash.crash_id, &self.parts)
-        });
-        unexplained.count() >= limit
-    }
-
-    /// Returns the failure for a request with a prompt part that crashes the endpoints that run it.
-    fn suspect_part_failure(&self, now: TimePoint, part: u64) -> DispatchFailure {
-        let (history, refused_for) = {
-            let suspects = self.state.part_suspects();
-            let table = suspects.table();
-            (table.history_at(now, part).unwrap_or_default(), table.refused_for(now, part))
-        };
-        let evidence: Vec<String> = history
-            .counted()
-            .map(|crash| {
-                format!(
-                    "{} run {}, {} ms ago",
-                    crash.endpoint,
-                    crash.crash_id,
-                    crash.age.as_millis()
-                )
-            })
-            .collect();
-        let place = self.parts.iter().position(|key| *key == part).unwrap_or_default();
-        let id = self.request.placement.parts.get(place).map_or(0, |part| part.id);
-        log::warn!(
-            target: part::REQUEST,
-            request = &*self.request.id, prompt_part = format!("{id:x}"), place = place + 1,
-            parts = self.request.logged_parts(), crashes = evidence.len(),
-            evidence = evidence.join("; "), proven = history.is_proven(),
-            refused_for_s = refused_for.as_secs();
-            "request refused because of a prompt part"
-        );
-        self.state.metrics.note_refused_part();
-        let failure =
-            self.failure("a part of its prompt was running at endpoints when they crashed".into());
-        // Coming back earlier would be in vain.
-        DispatchFailure { retry_after: failure.retry_after.map(|_| refused_for), ..failure }
-    }
-
-    /// Returns the failure for a request that crashes the endpoints that run it.
-    fn suspect_failure(&self, now: TimePoint) -> DispatchFailure {
-        let (crashes, refused_for) = {
-            let suspects = self.state.suspects();
-            let records = suspects.table().crashes(self.fingerprint).iter();
-            let endpoints: Vec<String> = records
-                .filter(|record| record.counts_against())
-                .map(|record| format!("{} run {}", record.endpoint, record.crash_id))
-                .collect();
-            (endpoints, suspects.refused_for(now, self.fingerprint))
-        };
-        log::warn!(
-            target: part::REQUEST,
-            request = &*self.request.id, fingerprint = format!("{:016x}", self.fingerprint),
-            crashes = crashes.len(), endpoints = crashes.join(", "),
-            refused_for_s = refused_for.as_secs();
-            "request refused as the cause of crashes"
-        );
-        self.state.metrics.note_refused_suspect();
-        let reason = "it was running at endpoints when they crashed";
-        let failure = self.failure(reason.into());
-        // Coming back earlier would be in vain.
-        DispatchFailure { retry_after: failure.retry_after.map(|_| refused_for), ..failure }
-    }
-
     /// Returns the failure for a request that is not sent again.
     ///
     /// The failure has a retry delay only if the request has certainly not run.
-    fn failure(&self, reason: Box<str>) -> DispatchFailure {
+    pub(crate) fn failure(&self, reason: Box<str>) -> DispatchFailure {
         let why = self.last_failure.as_deref();
         let reason = why.map_or(reason.clone(), |why| format!("{reason}; before: {why}").into());
         if self.runs == 0 {
@@ -362,25 +268,6 @@
         DispatchFailure { status, reason, retry_after: None }
     }
 
-    /// Logs the chosen endpoint.
-    ///
-    /// The log field `home_rank` is the rank of the endpoint among those that are preferred for the
-    /// request's shared prompt parts, or -1 if the endpoint is not preferred; `ahead` is the number
-    /// of prompt tokens that the endpoint has not prefilled yet.
-    fn log_choice(&self, choice: &PlaceChoice) {
-        let request = &self.request;
-        log::info!(
-            target: part::REQUEST,
-            request = &*request.id, route = &*request.route.name, endpoint = &*choice.name,
-            fingerprint = format!("{:016x}", self.fingerprint), sends = self.sends, cost = choice.cost as u64, cached = choice.cached,
-            home_rank = choice.home_rank.map_or(-1, |rank| rank as i64),
-            ahead = choice.pending_prefill, load = choice.load, limited = choice.limited, strict = choice.strict,
-            others_age_ms = choice.others_age.map_or(-1, |age| age.as_millis() as i64),
-            prompt_tokens = request.placement.prompt_tokens;
-            "request placed"
-        );
-    }
-
     /// Records a run whose connection was lost, and quarantines the endpoint; `phase` is `head` or
     /// `answer`, the part of the response that was lost.
     ///
@@ -606,14 +493,3 @@
         forwarded
     }
 }
-
-/// Returns the name in metrics of what limits of endpoints meant for a choice; `None` if there was
-/// none.
-fn limit_decision(choice: &Result<PlaceChoice, DecisionReason>) -> Option<&'static str> {
-    match choice {
-        Ok(choice) if choice.send_by.is_some() => Some("sent"),
-        Ok(choice) if choice.limited > 0 => Some("elsewhere"),
-        Err(DecisionReason::EndpointsLimited { .. }) => Some("refused"),
-        _ => None,
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,12 +14,15 @@
 * [`connection`] sends requests over one connection; `connection_pool` keeps idle connections.
 * [`process`] starts an entry and drains it on SIGTERM or SIGINT.
 * `callers` accepts callers' connections and reads each request as a `caller_request`; `dispatcher`
-  sends the request to endpoints until one of them responds; `relay` forwards the response to the
+  sends the request to endpoints until one of them responds (`choice_log` and `crash_refusals` belong to
+  it); `relay` forwards the response to the
   caller.
 * `state` holds what all requests share: the current `route_table`, the endpoints and the retry
   budgets.
 * `crash_checks` finds out whether an endpoint that lost requests has crashed, and `suspects` keeps the
   records of these crashes in the store.
+* `limits` takes the limits that endpoints name from their answers, and exchanges them and the tickets for
+  sends with other entries; the kernel's `send_limit` decides.
 * `follow` updates this state from the store or, through `peer`, from another entry that reads the
   store.
 * `duty` sends this entry's request counts to the hub or the store, and reports usage if this entry
@@ -31,10 +34,12 @@
 mod body_framing;
 mod caller_request;
 mod callers;
+mod choice_log;
 mod clock;
 pub mod connection;
 mod connection_pool;
 mod crash_checks;
+mod crash_refusals;
 mod dispatch_failure;
 mod dispatcher;
 mod duty;
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -18,6 +18,7 @@
 mod endpoint;
 mod endpoint_directory;
 mod exclusion;
+mod limited_choice;
 mod part_homes;
 mod partition;
 mod pools;
--- a/crates/kernel/src/send_limit/limit_record.rs
+++ b/crates/kernel/src/send_limit/limit_record.rs
@@ -85,10 +85,11 @@
     }
 
     /// Takes over an answer that named the limit, unless it is older than what is known. Of two
-    /// answers at the same time the lower limit counts.
+    /// answers at the same time the lower limit counts. A limit that has ended holds again if it would
+    /// not have ended with this answer known.
     pub(super) fn note_named(&mut self, other: &LimitRecord) {
         let is_newer = if self.ended {
-            other.named_at > self.unnamed_at
+            other.named_at + END_DELAY > self.unnamed_at
         } else {
             (other.named_at, self.rate.stated()) >= (self.named_at, other.rate.stated())
         };
