--- a/crates/kernel/src/send_limit/mod.rs
+++ b/crates/kernel/src/send_limit/mod.rs
@@ -1,8 +1,8 @@
 //! Limits that endpoints name for the requests of all entries together.
 //!
-//! An endpoint states in its answers how many requests a second it takes from the whole fleet. A
-//! limit holds for all entries as soon as they know of it, and ends for all with the first answer
-//! that no longer names it ([`LimitRow`] has what entries tell each other of it).
+//! A limit that an endpoint names in its answers is the number of requests a second that it takes
+//! from the whole fleet. It holds for all entries as soon as they know of it, and ends for all with
+//! an answer that no longer names it ([`LimitRow`] has what entries tell each other of it).
 //!
 //! A request goes to a limited endpoint only with a ticket, which allows one send. The root hub mints
 //! tickets at the rate of the limit. Tickets travel down the tree of hubs, to the entries whose
