Log the software versions of endpoints, and the stream that a caller takes up

The record of an endpoint states its version, which was dropped.

endpoint listed, request placed and stream resumed name the version; request placed and request not placed name the stream that a caller takes up (Resumes). No decision changes.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -25,6 +25,9 @@
     pub(crate) route: RouteSpec,
     pub(crate) account: Option<Box<str>>,
     pub(crate) last_event: Option<Box<str>>,
+    /// Attempt of the caller that brought the first event of the stream to resume, if the caller
+    /// names one.
+    pub(crate) resumes: Option<Box<str>>,
     /// Properties of the request that the choice of an endpoint depends on.
     pub(crate) placement: PlacedRequest,
     pub(crate) arrived: TimePoint,
@@ -51,6 +54,7 @@
             body,
             account: None,
             last_event: head.last_event,
+            resumes: head.resumes,
             placement: PlacedRequest {
                 service,
                 prompt_tokens: head.prompt_tokens,
@@ -99,6 +103,13 @@
         logged.chain(more).collect::<Vec<_>>().join(",")
     }
 
+    /// Returns the attempt that began the stream which the caller takes up again, for log lines;
+    /// empty for a stream that begins, and `unnamed` if the caller names no attempt.
+    pub(crate) fn logged_stream(&self) -> &str {
+        let unnamed = if self.last_event.is_some() { "unnamed" } else { "" };
+        self.resumes.as_deref().unwrap_or(unnamed)
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         clock::now().until(self.deadline)
--- a/crates/gateway/src/choice_log.rs
+++ b/crates/gateway/src/choice_log.rs
@@ -17,6 +17,7 @@
             excluded = self.excluded.len(), resting = diagnosis.excluded, limited = diagnosis.limited, short_of_memory = diagnosis.short_of_memory,
             least_load = diagnosis.least_load, load_limit = diagnosis.load_limit,
             others_age_ms = diagnosis.others_age.map_or(-1, |age| age.as_millis() as i64),
+            resumes = self.request.logged_stream(),
             prompt_tokens = self.request.placement.prompt_tokens;
             "request not placed"
         );
@@ -24,6 +25,7 @@
 
     /// Logs the chosen endpoint.
     ///
+    /// The log field `resumes` names the attempt that began the stream which the caller takes up.
     /// The log field `home_rank` is the rank of the endpoint among those that are preferred for the
     /// request's shared prompt parts, or -1 if the endpoint is not preferred; `ahead` is the number
     /// of prompt tokens that the endpoint has not prefilled yet.
@@ -32,6 +34,7 @@
         log::info!(
             target: part::REQUEST,
             request = &*request.id, route = &*request.route.name, endpoint = &*choice.name,
+            version = &*choice.software, resumes = request.logged_stream(),
             fingerprint = format!("{:016x}", self.fingerprint), sends = self.sends, cost = choice.cost as u64, cached = choice.cached,
             home_rank = choice.home_rank.map_or(-1, |rank| rank as i64),
             ahead = choice.pending_prefill, load = choice.load, limited = choice.limited, strict = choice.strict,
--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -43,6 +43,8 @@
     pub(crate) address: SocketAddr,
     /// Wall-clock time of the start in milliseconds since 1970, if known.
     pub(crate) started_ms: Option<u64>,
+    /// Version of its software.
+    pub(crate) software: Box<str>,
 }
 
 impl EndpointInstance {
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -408,8 +408,9 @@
     fn instance(&self, name: &str) -> Option<EndpointInstance> {
         let directory = self.state.directory();
         let endpoint = directory.entry(name)?;
+        let software = endpoint.software.clone();
         let (address, started_ms) = (endpoint.address, endpoint.started_ms);
-        Some(EndpointInstance { name: name.into(), address, started_ms })
+        Some(EndpointInstance { name: name.into(), address, started_ms, software })
     }
 
     /// Checks that the head of a response belongs to this request and that the request ran.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -403,11 +403,13 @@
         drop(body);
         let last_event = self.last_event.clone();
         self.dispatcher.await_retry_after_lost_response(&work, reason).await.ok()?;
+        let before = work.instance.software.clone();
         drop(work);
         let next = self.dispatcher.dispatch(last_event.as_deref()).await.ok()?;
         log::info!(
             target: part::REQUEST,
             request = &*self.dispatcher.request.id, endpoint = &*next.work.instance.name,
+            version = &*next.work.instance.software, version_before = &*before,
             last_event = last_event.as_deref().unwrap_or("none"), reason = reason;
             "stream resumed"
         );
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -325,7 +325,8 @@
                 DirectoryChange::Put(name, endpoint) => {
                     log::info!(
                         target: part::FOLLOW,
-                        endpoint = &*name, service = &*endpoint.service, leaving = endpoint.leaving;
+                        endpoint = &*name, service = &*endpoint.service,
+                        version = &*endpoint.software, leaving = endpoint.leaving;
                         "endpoint listed"
                     );
                     let started_ms = endpoint.started_ms;
@@ -337,6 +338,7 @@
                         name,
                         service: endpoint.service,
                         domain: endpoint.domain,
+                        software: endpoint.software,
                         slots: endpoint.slots,
                         leaving: endpoint.leaving,
                         started_ms,
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -28,6 +28,9 @@
     pub parts: Vec<PromptPart>,
     /// Identifier of the last event that the caller received, if the caller resumes a stream.
     pub last_event: Option<Box<str>>,
+    /// Identifier of the attempt that brought the first event of the stream that the caller takes up
+    /// again; `None` if the caller names none, or more than one.
+    pub resumes: Option<Box<str>>,
 }
 
 /// Information that the entry adds to a request for the endpoint.
--- a/crates/kernel/benches/place.rs
+++ b/crates/kernel/benches/place.rs
@@ -17,6 +17,7 @@
             name: format!("i-{index:010}").into(),
             service: "engine".into(),
             domain: format!("d{}", index % 4).into(),
+            software: "v1".into(),
             slots: 64,
             leaving: false,
             started_ms: None,
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -44,6 +44,8 @@
     pub service: Box<str>,
     /// Failure domain of the endpoint.
     pub domain: Box<str>,
+    /// Version of the endpoint's software; versions have no order.
+    pub software: Box<str>,
     /// Requests that the endpoint can run concurrently.
     pub slots: u32,
     /// Whether the endpoint is leaving and accepts no new work.
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -25,6 +25,8 @@
     pub address: SocketAddr,
     /// Failure domain of the endpoint.
     pub domain: Box<str>,
+    /// Version of the endpoint's software.
+    pub software: Box<str>,
     /// Requests that the endpoint can run concurrently.
     pub slots: u32,
     /// Whether the endpoint is leaving and accepts no new work.
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -40,6 +40,8 @@
     pub endpoint: EndpointKey,
     /// Name of the endpoint.
     pub name: Box<str>,
+    /// Version of the endpoint's software.
+    pub software: Box<str>,
     /// Cost of the request at the endpoint, in prompt tokens.
     pub cost: f64,
     /// Whether the endpoint is presumed to have the request's last shared part cached.
@@ -258,6 +260,7 @@
         PlaceChoice {
             endpoint,
             name: state.spec.name.clone(),
+            software: state.spec.software.clone(),
             cost,
             cached: part.is_some_and(|part| state.holds(now, part.id)),
             pending_prefill: state.prefill(now) as u32,
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -21,6 +21,7 @@
         name: name.into(),
         service: "engine".into(),
         domain: domain.into(),
+        software: "v1".into(),
         slots: SLOTS,
         leaving: false,
         started_ms: None,
--- a/crates/kernel/tests/place_exclusion.rs
+++ b/crates/kernel/tests/place_exclusion.rs
@@ -120,6 +120,7 @@
         name: name.into(),
         service: "chat".into(),
         domain: "a".into(),
+        software: "v1".into(),
         slots: 4,
         leaving: false,
         started_ms: Some(started_ms),
--- a/crates/kernel/tests/place_limit.rs
+++ b/crates/kernel/tests/place_limit.rs
@@ -22,6 +22,7 @@
         name: format!("i-{number}").into(),
         service: "app".into(),
         domain: "a".into(),
+        software: "v1".into(),
         slots: 8,
         leaving: false,
         started_ms: Some(started_ms),
