--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -30,6 +30,8 @@
     pub(crate) resumes: Option<Box<str>>,
     /// Properties of the request that the choice of an endpoint depends on.
     pub(crate) placement: PlacedRequest,
+    /// How long the caller waits, over all its tries.
+    pub(crate) patience: Duration,
     pub(crate) arrived: TimePoint,
     pub(crate) deadline: TimePoint,
 }
@@ -63,7 +65,10 @@
                 strict: route.strict,
                 urgency: urgency(route.tier, None),
                 parts: head.parts,
+                continues: false,
+                version: None,
             },
+            patience: head.time_left.unwrap_or(route.timeout),
             deadline: arrived + timeout,
             arrived,
             route,
--- a/crates/gateway/src/choice_log.rs
+++ b/crates/gateway/src/choice_log.rs
@@ -12,13 +12,13 @@
     pub(crate) fn log_not_placed(&self, reason: &DecisionReason, diagnosis: &PlacementDiagnosis) {
         log::info!(
             target: part::REQUEST,
-            request = &*self.request.id, service = &*self.request.placement.service,
+            request = &*self.request.id, service = &*self.placement.service,
             reason = reason.to_string(), open = diagnosis.open, down = diagnosis.down,
             excluded = self.excluded.len(), resting = diagnosis.excluded, limited = diagnosis.limited, short_of_memory = diagnosis.short_of_memory,
             least_load = diagnosis.least_load, load_limit = diagnosis.load_limit,
             others_age_ms = diagnosis.others_age.map_or(-1, |age| age.as_millis() as i64),
             resumes = self.request.logged_stream(),
-            prompt_tokens = self.request.placement.prompt_tokens;
+            prompt_tokens = self.placement.prompt_tokens;
             "request not placed"
         );
     }
@@ -39,7 +39,7 @@
             home_rank = choice.home_rank.map_or(-1, |rank| rank as i64),
             ahead = choice.pending_prefill, load = choice.load, limited = choice.limited, strict = choice.strict,
             others_age_ms = choice.others_age.map_or(-1, |age| age.as_millis() as i64),
-            prompt_tokens = request.placement.prompt_tokens;
+            prompt_tokens = self.placement.prompt_tokens;
             "request placed"
         );
     }
--- a/crates/gateway/src/dispatch_failure.rs
+++ b/crates/gateway/src/dispatch_failure.rs
@@ -16,9 +16,16 @@
     pub(crate) reason: Box<str>,
     /// Delay after which the caller may retry; `None` if the request may have run.
     pub(crate) retry_after: Option<Duration>,
+    /// Code by which callers tell the reason, if they can do something about it.
+    pub(crate) code: Option<&'static str>,
 }
 
 impl DispatchFailure {
+    /// Sets the code by which callers tell the reason.
+    pub(crate) fn with_code(self, code: &'static str) -> DispatchFailure {
+        DispatchFailure { code: Some(code), ..self }
+    }
+
     /// Prolongs the retry delay, if there is one, by `span` instead of the shortest delay.
     pub(crate) fn with_delay_of_at_least(self, span: Duration) -> DispatchFailure {
         let prolonged = |delay: Duration| span.max(MIN_RETRY_AFTER) + delay - MIN_RETRY_AFTER;
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use pimentorock_kernel::{
     ids::EndpointKey,
-    place::{EndpointNotice, PlaceChoice},
+    place::{EndpointNotice, PlaceChoice, PlacedRequest},
     reason::DecisionReason,
     request::RunOutcome,
     retry::{RetryCase, RetryDecision},
@@ -47,6 +47,8 @@
 pub(crate) struct RequestDispatcher {
     pub(crate) state: Arc<GatewayState>,
     pub(crate) request: Arc<CallerRequest>,
+    /// What the choice of an endpoint depends on; once the stream goes on, its version too.
+    pub(crate) placement: PlacedRequest,
     pub(crate) fingerprint: u64,
     /// Keys of the parts of the prompt, in order.
     pub(crate) parts: Box<[u64]>,
@@ -92,6 +94,7 @@
             fingerprint: request.fingerprint(),
             parts: request.part_keys(),
             excused: false,
+            placement: request.placement.clone(),
             request: Arc::new(request),
             excluded: Vec::new(),
             sends: 0,
@@ -209,7 +212,7 @@
             needed: MIN_SEND_TIME,
         };
         let seed = clock::now().as_micros();
-        match self.state.decide_retry(&request.placement.service, &case, seed) {
+        match self.state.decide_retry(&self.placement.service, &case, seed) {
             RetryDecision::Retry { delay, .. } => {
                 tokio::time::sleep(delay).await;
                 Ok(())
@@ -232,16 +235,17 @@
         }
         self.excused = verdict == PartVerdict::Excused;
         let mut table = self.state.table();
-        let choice = table.choose(now, &self.request.placement, &self.excluded);
+        let choice = table.choose(now, &self.placement, &self.excluded);
         if let Some(decision) = limit_decision(&choice) {
             self.state.metrics.note_limit_decision(decision);
         }
         choice.map_err(|reason: DecisionReason| {
-            let diagnosis = table.diagnose(now, &self.request.placement);
+            let diagnosis = table.diagnose(now, &self.placement);
             drop(table);
             self.log_not_placed(&reason, &diagnosis);
             let failure = self.failure(reason.to_string().into());
             match reason {
+                DecisionReason::VersionGone => self.version_failure(&reason),
                 // Coming back before an endpoint takes requests again would be in vain.
                 DecisionReason::EndpointsExcluded { millis }
                 | DecisionReason::EndpointsLimited { millis } => {
@@ -261,11 +265,12 @@
         if self.runs == 0 {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let spread = self.request.time_left().mul_f64(RETRY_JITTER * clock::random_fraction());
-            return DispatchFailure { status, reason, retry_after: Some(MIN_RETRY_AFTER + spread) };
+            let retry_after = Some(MIN_RETRY_AFTER + spread);
+            return DispatchFailure { status, reason, retry_after, code: None };
         }
         let late = self.request.time_left() < MIN_SEND_TIME;
         let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-        DispatchFailure { status, reason, retry_after: None }
+        DispatchFailure { status, reason, retry_after: None, code: None }
     }
 
     /// Records a run whose connection was lost, and quarantines the endpoint; `phase` is `head` or
@@ -288,7 +293,7 @@
 
     /// Has the endpoint of `work` checked, because a run of the request was lost there.
     fn check_after_lost_run(&self, work: &WorkGuard) {
-        let service = &self.request.placement.service;
+        let service = &self.placement.service;
         crash_checks::note_lost_run(&self.state, &work.instance, service, self.run(work));
     }
 
@@ -309,7 +314,7 @@
         if framing == BodyFraming::Marked {
             return true;
         }
-        let service = &self.request.placement.service;
+        let service = &self.placement.service;
         crash_checks::outlives_answer(&self.state, &work.instance, service, self.run(work)).await
     }
 
@@ -335,7 +340,7 @@
         let now = clock::now();
         self.state.suspects().note_completed(now, self.fingerprint);
         if status.is_success() {
-            let service = &self.request.placement.service;
+            let service = &self.placement.service;
             self.state.part_suspects().note_completed(now, service, &self.parts);
         }
     }
@@ -363,7 +368,7 @@
         };
         self.log_choice(choice);
         let now = clock::now();
-        let ticket = self.state.table().sent(now, choice.endpoint, &self.request.placement);
+        let ticket = self.state.table().sent(now, choice.endpoint, &self.placement);
         let state = Arc::clone(&self.state);
         let work = WorkGuard { state, ticket, instance, sent_at: now, excused: self.excused };
         let repeat = self.sends > 1;
@@ -376,7 +381,7 @@
             }
         };
         self.state.table().note_reached(choice.endpoint);
-        let urgency = self.request.placement.urgency;
+        let urgency = self.placement.urgency;
         if !self.state.table().may_send(clock::now(), choice, urgency) {
             self.state.pool.put(&choice.name, connection);
             return SendOutcome::Unreached("the endpoint takes no requests meanwhile".into());
@@ -484,7 +489,7 @@
             endpoint: &choice.name,
             account: request.account.as_deref(),
             time_left: request.time_left(),
-            urgency: request.placement.urgency,
+            urgency: self.placement.urgency,
             last_event,
         };
         let mut forwarded = Request::new(Full::new(request.body.bytes.clone()));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -87,6 +87,7 @@
         let gone = state.directory().expire(clock::now());
         state.apply_changes(gone);
         state.pool.prune();
+        state.step_origins();
         state.give_up_on_suspects();
         tokio::select! {
             () = stop.cancelled() => return,
@@ -160,7 +161,7 @@
 ) -> bool {
     let sent_at = clock::now();
     let shares = state.shares_to_send(address);
-    let known = clients.known_suspects(address);
+    let known = clients.known_ledgers(address);
     let report = state.report(shares.clone(), wants_entries, known);
     let Some(update) = clients.exchange(state, address, report).await else { return false };
     state.apply_update(address, sent_at, update, true);
@@ -190,7 +191,7 @@
     shares: Vec<EntryShare>,
 ) -> bool {
     let sent_at = clock::now();
-    let known = clients.known_suspects(address);
+    let known = clients.known_ledgers(address);
     let announcement = state.announcement(shares, true, known);
     match clients.exchange(state, address, announcement).await {
         Some(update) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,8 @@
   records of these crashes in the store.
 * `limits` takes the limits that endpoints name from their answers, and exchanges them and the tickets for
   sends with other entries; the kernel's `send_limit` decides.
+* `origins` finds the software version at which a stream may go on, and keeps the versions of streams in
+  the store; the kernel's `stream_origin` decides.
 * `follow` updates this state from the store or, through `peer`, from another entry that reads the
   store.
 * `duty` sends this entry's request counts to the hub or the store, and reports usage if this entry
@@ -54,6 +56,7 @@
 mod message_buffers;
 mod metered_stream;
 mod metrics;
+mod origins;
 mod peer;
 pub mod process;
 mod ready;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,9 @@
     endpoint_exclusions: Counter<u64>,
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
+    take_ups: Counter<u64>,
+    stream_origins: Gauge<u64>,
+    mixed_services: Gauge<u64>,
     refused_suspects: Counter<u64>,
     refused_parts: Counter<u64>,
     suspects: Gauge<u64>,
@@ -60,6 +63,9 @@
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
+            take_ups: meter.u64_counter("take_ups").build(),
+            stream_origins: meter.u64_gauge("stream_origins").build(),
+            mixed_services: meter.u64_gauge("mixed_services").build(),
             refused_suspects: meter.u64_counter("refused_suspects").build(),
             refused_parts: meter.u64_counter("refused_prompt_parts").build(),
             suspects: meter.u64_gauge("suspects").build(),
@@ -118,6 +124,17 @@
         self.limit_decisions.add(1, &[KeyValue::new("decision", decision)]);
     }
 
+    /// Counts a stream that a caller takes up again, by the evidence of the version that began it.
+    pub(crate) fn note_take_up(&self, evidence: &'static str) {
+        self.take_ups.add(1, &[KeyValue::new("evidence", evidence)]);
+    }
+
+    /// Sets the number of streams whose versions are known, and of services with several versions.
+    pub(crate) fn note_origins(&self, streams: usize, mixed_services: usize) {
+        self.stream_origins.record(streams as u64, &[]);
+        self.mixed_services.record(mixed_services as u64, &[]);
+    }
+
     /// Counts a request that was not sent because it crashes endpoints.
     pub(crate) fn note_refused_suspect(&self) {
         self.refused_suspects.add(1, &[]);
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,270 @@
+//! Finds the software version at which a stream may go on, and keeps the versions of streams in the
+//! store.
+
+use std::{sync::Arc, time::Duration};
+
+use pimentorock_kernel::{
+    hub::{HubChoice, ReadTurn},
+    reason::DecisionReason,
+    stream_origin::{
+        ArchiveRecord, OriginAnswer, OriginEvidence, OriginQuestion, StreamKey, StreamOrigins,
+        VersionKey,
+    },
+};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock,
+    dispatch_failure::DispatchFailure,
+    dispatcher::RequestDispatcher,
+    fleet_config::RouteKind,
+    logs::part,
+    shared_view::EraChange,
+    state::GatewayState,
+    store::{NewRecord, StoreError, StoreRecord, StoreTopic},
+    work_guard::WorkGuard,
+};
+
+/// Time between two writes to the store.
+const WRITE_PERIOD: Duration = Duration::from_millis(200);
+
+/// Maximum number of entries that are asked in turn: the hub, the root hub, and the entry that reads the
+/// store in its place.
+const MAX_HOPS: u32 = 3;
+
+/// Maximum time for which a take-up waits while the entries asked have not read the store yet, or
+/// do not answer.
+const MAX_WAIT: Duration = Duration::from_millis(300);
+
+/// Time between two questions for the same stream.
+const ASK_AGAIN_PERIOD: Duration = Duration::from_millis(50);
+
+impl GatewayState {
+    /// Returns the age of this entry's copy of the store.
+    fn store_age(&self) -> Duration {
+        clock::now().since(self.view().follower.current_at())
+    }
+
+    /// Notes the versions that serve, and shares streams if they may not be inferred.
+    pub(crate) fn step_origins(&self) {
+        let (wall_ms, store_age) = (self.wall_ms(), self.store_age());
+        let directory = self.directory();
+        let listed = directory.entries().map(|entry| (&*entry.service, &*entry.software));
+        let mut origins = self.origins();
+        origins.step(wall_ms, store_age, listed);
+        self.metrics.note_origins(origins.len(), origins.mixed_services().len());
+    }
+
+    /// Applies a record of the topic of streams' versions.
+    pub(crate) fn apply_origin(&self, record: &StoreRecord) {
+        let value = record.value.as_deref().unwrap_or_default();
+        if let Err(error) = self.origins().take_archived(clock::now(), &record.key, value) {
+            log::warn!(
+                target: part::FOLLOW, key = &*record.key, offset = record.offset,
+                error = error.to_string();
+                "stream origins unreadable"
+            );
+        }
+    }
+
+    /// Returns the version that began a stream, after asking `hops` further entries at most.
+    pub(crate) async fn find_origin(&self, question: &OriginQuestion, hops: u32) -> OriginAnswer {
+        let own = self.origins().find(clock::now(), self.store_age(), question);
+        let is_recorded = !own.is_open() && own.evidence != OriginEvidence::Sole;
+        let next = match self.next_to_ask() {
+            Some(next) if hops > 0 && !is_recorded => next,
+            _ => return own,
+        };
+        let answer = self.origin_clients.find(next, question.clone(), hops - 1).await;
+        let Some(answer) = answer else {
+            self.roster().note_failure(clock::now(), next);
+            return own;
+        };
+        // An entry that has read the store may know less of the others than the one it asks.
+        if answer.evidence == OriginEvidence::Incomplete { own } else { answer }
+    }
+
+    /// Returns the entry that may know more of streams: the hub, or for the root hub the entry that
+    /// reads the store in its place.
+    fn next_to_ask(&self) -> Option<std::net::SocketAddr> {
+        let is_read = self.origins().is_read();
+        let view = self.view();
+        match view.roster.hub(clock::now()) {
+            HubChoice::Peer(hub) => Some(hub),
+            HubChoice::Own => {
+                let reader = view.follower.reader().filter(|_| !is_read);
+                reader.filter(|reader| *reader != view.roster.own())
+            }
+        }
+    }
+}
+
+impl RequestDispatcher {
+    /// Restricts a stream that the caller takes up again to the version that began it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the version is not known, or if the route has no endpoints of it any more.
+    pub(crate) async fn find_version(&mut self) -> Result<(), DispatchFailure> {
+        let request = Arc::clone(&self.request);
+        if request.route.kind != RouteKind::Stream || request.last_event.is_none() {
+            return Ok(());
+        }
+        let account = request.account.as_deref();
+        let stream = request.resumes.as_deref().map(|attempt| StreamKey::new(account, attempt));
+        let services = request.route.services.iter().map(|(service, _)| service.clone());
+        let question = OriginQuestion { stream, services: services.collect() };
+        let asked_at = clock::now();
+        let answer = loop {
+            let answer = self.state.find_origin(&question, MAX_HOPS).await;
+            let waits = answer.evidence == OriginEvidence::Incomplete;
+            if !waits || clock::now().since(asked_at) >= MAX_WAIT {
+                break answer;
+            }
+            sleep(ASK_AGAIN_PERIOD).await;
+        };
+        let served = {
+            let origins = self.state.origins();
+            answer.version.and_then(|version| origins.version(version).cloned())
+        };
+        let software = served.as_ref().map_or("", |served| &served.software);
+        log::info!(
+            target: part::REQUEST,
+            request = &*request.id, stream = request.logged_stream(), version = software,
+            evidence = answer.evidence.label(), age_ms = answer.age.as_millis() as u64,
+            asked_ms = clock::now().since(asked_at).as_millis() as u64,
+            last_event = request.last_event.as_deref().unwrap_or_default();
+            "stream origin"
+        );
+        self.state.metrics.note_take_up(answer.evidence.label());
+        let Some(version) = answer.version else {
+            return Err(self.version_failure(&DecisionReason::VersionUnknown));
+        };
+        let service = served.map(|served| served.service);
+        let Some(service) = service.filter(|service| question.services.contains(service)) else {
+            return Err(self.version_failure(&DecisionReason::VersionGone));
+        };
+        self.placement.service = service;
+        self.continue_at(version);
+        Ok(())
+    }
+
+    /// Restricts the request to the version that began its stream.
+    fn continue_at(&mut self, version: VersionKey) {
+        let placement = std::mem::take(&mut self.placement);
+        self.placement = placement.with_continuation(Some(version));
+    }
+
+    /// Restricts the request to the version of the endpoint of `work`, whose events the caller has.
+    pub(crate) fn continue_after(&mut self, work: &WorkGuard) {
+        self.continue_at(VersionKey::new(&self.placement.service, &work.instance.software));
+    }
+
+    /// Notes that the caller gets its first event from the endpoint of `work`.
+    pub(crate) fn note_first_event(&self, work: &WorkGuard) {
+        let request = &self.request;
+        if !request.route.resumable {
+            return;
+        }
+        let account = request.account.as_deref();
+        let until_ms =
+            self.state.wall_ms() + StreamOrigins::waiting_time(request.patience).as_millis() as u64;
+        let is_split = request.route.services.len() > 1;
+        // A caller may also name the attempt with which it took the stream up before.
+        let begun = request.resumes.as_deref().filter(|_| request.last_event.is_some());
+        for attempt in [Some(&*request.id), begun].into_iter().flatten() {
+            self.state.origins().begin(
+                clock::now(),
+                StreamKey::new(account, attempt),
+                &self.placement.service,
+                &work.instance.software,
+                until_ms,
+                is_split,
+            );
+        }
+    }
+
+    /// Returns the failure for a stream that cannot go on at the version that began it.
+    pub(crate) fn version_failure(&self, reason: &DecisionReason) -> DispatchFailure {
+        let code = match reason {
+            DecisionReason::VersionGone => "stream_version_gone",
+            _ => "stream_version_unknown",
+        };
+        self.failure(reason.to_string().into()).with_code(code)
+    }
+}
+
+/// Writes the versions that began streams to the store as long as this entry reads the store on
+/// behalf of others and until `stop` is cancelled; writes them once more after `stop`.
+pub(crate) async fn publish_origins(state: Arc<GatewayState>, stop: CancellationToken) {
+    let mut turn = ReadTurn::new();
+    let mut pause = WRITE_PERIOD;
+    let mut stopping = false;
+    while !stopping {
+        tokio::select! {
+            () = stop.cancelled() => stopping = true,
+            () = sleep(pause) => {}
+        }
+        pause = WRITE_PERIOD;
+        let now = clock::now();
+        let role = state.view().role(now);
+        if !state.view().serves_others(now) {
+            // Another entry may write from now on.
+            if state.origins().is_read() {
+                state.origins().forget_archive();
+            }
+            continue;
+        }
+        let is_read = state.origins().is_read();
+        let done = if is_read { write_pending(&state).await } else { read_all(&state).await };
+        if let Err(error) = done {
+            log::warn!(
+                target: part::FOLLOW, error = error.to_string(), reads = !is_read;
+                "stream origins not exchanged with the store"
+            );
+            let entries = state.live_entries();
+            pause = turn.note_failure(now, role, entries, clock::random_fraction());
+        }
+    }
+}
+
+/// Reads all records that the store has.
+async fn read_all(state: &GatewayState) -> Result<(), StoreError> {
+    let read = (state.store.newest)(StoreTopic::Origins).await;
+    state.metrics.note_store_call("origins", read.is_ok());
+    let batch = read?;
+    if state.note_era(batch.era, "store") == EraChange::Outdated {
+        return Err(StoreError::Outdated);
+    }
+    batch.records.iter().for_each(|record| state.apply_origin(record));
+    state.origins().note_read();
+    log::info!(
+        target: part::FOLLOW,
+        records = batch.records.len(), streams = state.origins().len(), era = batch.era;
+        "stream origins read"
+    );
+    Ok(())
+}
+
+/// Writes the records that the store lacks.
+async fn write_pending(state: &GatewayState) -> Result<(), StoreError> {
+    let era = state.view().era;
+    let records = state.origins().pending(state.wall_ms(), &state.process.to_string());
+    if records.is_empty() {
+        return Ok(());
+    }
+    let new_record =
+        |record: ArchiveRecord| NewRecord { key: record.key, value: record.value.into() };
+    let records = records.into_iter().map(new_record).collect();
+    let sent = (state.store.append)(StoreTopic::Origins, records, None).await;
+    state.metrics.note_store_call("origins", sent.is_ok());
+    let position = sent?;
+    // A store that came back from an older copy meanwhile is written anew.
+    if position.era == era && state.note_era(era, "store") == EraChange::Same {
+        state.origins().note_written();
+    } else {
+        state.note_era(position.era, "store");
+    }
+    Ok(())
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,7 +3,12 @@
 //! Entries exchange store records, load and usage shares through hubs; the kernel's `hub` module
 //! describes how the hubs are chosen.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
 
 use futures::StreamExt;
 use pimentorock_kernel::{
@@ -11,6 +16,7 @@
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
     send_limit::{LimitAnswer, LimitReport},
+    stream_origin::{OriginAnswer, OriginDelta, OriginQuestion},
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
 };
 use serde::{Deserialize, Serialize};
@@ -37,6 +43,9 @@
 /// Maximum time for one exchange with a peer, including the time to connect.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum time for one question for the version of a stream, including the time to connect.
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// A record of the store in the form in which entries exchange it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PeerRecord {
@@ -107,6 +116,8 @@
     pub(crate) part_suspects: PartDelta,
     /// Position in the receiver's changes of prompt parts that the sender has reached.
     pub(crate) part_suspects_seen: LedgerPosition,
+    /// Versions that began streams, which the sender has not reported to the receiver yet.
+    pub(crate) origins: OriginDelta,
 }
 
 /// The load of an entry and of the entries that report to it, for its hub.
@@ -162,6 +173,10 @@
     pub(crate) part_suspects: PartDelta,
     /// What the reporting entry lacks of limits.
     pub(crate) limits: LimitUpdate,
+    /// Position in the answering entry's records of streams, which tells its runs apart.
+    pub(crate) origins: LedgerPosition,
+    /// Services of which several software versions have served lately.
+    pub(crate) mixed_services: Vec<Box<str>>,
     /// Whether the reporting entry, after `suspects` and `part_suspects`, knows all suspects that the store has.
     pub(crate) knows_suspects: bool,
 }
@@ -186,13 +201,15 @@
     }
 }
 
-/// Which changes of suspects two entries know of each other.
+/// Which changes of all ledgers two entries know of each other.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct KnownSuspects {
+pub(crate) struct KnownLedgers {
     /// Changes of requests.
     pub(crate) requests: KnownChanges,
     /// Changes of prompt parts.
     pub(crate) parts: KnownChanges,
+    /// Records of streams, which are sent one way only.
+    pub(crate) origins: KnownChanges,
 }
 
 /// Calls between entries.
@@ -200,6 +217,8 @@
 pub(crate) trait GatewayPeer {
     /// Applies the report of an entry and returns the state that the entry lacks.
     async fn exchange(report: EntryReport) -> EntryUpdate;
+    /// Returns the version that began a stream, after asking `hops` further entries at most.
+    async fn find_origin(question: OriginQuestion, hops: u32) -> OriginAnswer;
 }
 
 /// Answers the calls of peers from the shared state.
@@ -212,6 +231,15 @@
     async fn exchange(self, _: context::Context, report: EntryReport) -> EntryUpdate {
         self.state.handle_report(report)
     }
+
+    async fn find_origin(
+        self,
+        _: context::Context,
+        question: OriginQuestion,
+        hops: u32,
+    ) -> OriginAnswer {
+        self.state.find_origin(&question, hops).await
+    }
 }
 
 /// Accepts peers on `listener` and answers their calls until `stop` is cancelled.
@@ -238,14 +266,14 @@
     open: HashMap<SocketAddr, GatewayPeerClient>,
     /// Entries whose last call failed.
     lost: Vec<SocketAddr>,
-    /// What entries that answered and this one know of each other's suspects.
-    suspects: HashMap<SocketAddr, KnownSuspects>,
+    /// What entries that answered and this one know of each other's ledgers.
+    ledgers: HashMap<SocketAddr, KnownLedgers>,
 }
 
 impl PeerClients {
-    /// Returns which changes of suspects the entry at `address` and this one know of each other.
-    pub(crate) fn known_suspects(&self, address: SocketAddr) -> KnownSuspects {
-        self.suspects.get(&address).copied().unwrap_or_default()
+    /// Returns which changes of ledgers the entry at `address` and this one know of each other.
+    pub(crate) fn known_ledgers(&self, address: SocketAddr) -> KnownLedgers {
+        self.ledgers.get(&address).copied().unwrap_or_default()
     }
 
     /// Sends `report` to the entry at `address` and returns its answer.
@@ -259,15 +287,17 @@
         report: EntryReport,
     ) -> Option<EntryUpdate> {
         let sent = (report.suspects.position, report.part_suspects.position);
+        let sent_origins = report.origins.position;
         let answered = tokio::time::timeout(PEER_TIMEOUT, self.call(address, report)).await;
         let outcome = answered.unwrap_or_else(|_| Err("no answer in time".to_owned()));
         let now = clock::now();
         match outcome {
             Ok(update) => {
                 state.roster().note_answer(now, address);
-                let known = self.suspects.entry(address).or_default();
+                let known = self.ledgers.entry(address).or_default();
                 known.requests = known.requests.after_answer(sent.0, update.suspects.position);
                 known.parts = known.parts.after_answer(sent.1, update.part_suspects.position);
+                known.origins = known.origins.after_answer(sent_origins, update.origins);
                 if self.lost.contains(&address) {
                     self.lost.retain(|lost| *lost != address);
                     log::info!(target: part::PEER, peer = address.to_string(); "peer is back");
@@ -303,6 +333,44 @@
     }
 }
 
+/// Open connections to the entries that are asked for the versions of streams.
+#[derive(Debug, Default)]
+pub(crate) struct OriginClients {
+    open: Mutex<HashMap<SocketAddr, GatewayPeerClient>>,
+}
+
+impl OriginClients {
+    /// Asks the entry at `address`; `None` if it does not answer within [`ORIGIN_TIMEOUT`].
+    pub(crate) async fn find(
+        &self,
+        address: SocketAddr,
+        question: OriginQuestion,
+        hops: u32,
+    ) -> Option<OriginAnswer> {
+        let asking = async {
+            let known = self.open().get(&address).cloned();
+            let client = match known {
+                Some(client) => client,
+                None => {
+                    let client = connect(address).await.ok()?;
+                    self.open().insert(address, client.clone());
+                    client
+                }
+            };
+            client.find_origin(context::current(), question, hops).await.ok()
+        };
+        let answer = tokio::time::timeout(ORIGIN_TIMEOUT, asking).await.ok().flatten();
+        if answer.is_none() {
+            self.open().remove(&address);
+        }
+        answer
+    }
+
+    fn open(&self) -> MutexGuard<'_, HashMap<SocketAddr, GatewayPeerClient>> {
+        self.open.lock().expect("no holder of the lock panics")
+    }
+}
+
 fn frame_codec() -> Builder {
     let mut builder = LengthDelimitedCodec::builder();
     builder.max_frame_length(MAX_MESSAGE_BYTES);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use pimentorock_kernel::{answer::AnswerLimits, time::TimePoint};
@@ -114,6 +114,9 @@
 
 /// Sends the request to endpoints and returns the response for the caller.
 pub(crate) async fn respond(mut dispatcher: RequestDispatcher) -> Response<CallerBody> {
+    if let Err(failure) = dispatcher.find_version().await {
+        return failure_response(&mut dispatcher, &failure);
+    }
     let last_event = dispatcher.request.last_event.clone();
     loop {
         let response = match dispatcher.dispatch(last_event.as_deref()).await {
@@ -150,6 +153,11 @@
     let outcome = if failure.retry_after.is_some() { "refused" } else { "failed" };
     dispatcher.note_end(outcome);
     let mut response = Response::new(CallerBody::Empty);
+    if let Some(code) = failure.code {
+        *response.body_mut() = error_body(dispatcher, code, &failure.reason);
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(header::CONTENT_TYPE, json);
+    }
     *response.status_mut() = failure.status;
     if let Some(span) = failure.retry_after {
         (dispatcher.state.codec.retry_after)(response.headers_mut(), span);
@@ -157,6 +165,12 @@
     response
 }
 
+/// Returns the body of an own response whose reason the caller can act on.
+fn error_body(dispatcher: &RequestDispatcher, code: &str, reason: &str) -> CallerBody {
+    let body = serde_json::json!({"error": {"code": code, "message": reason}}).to_string();
+    CallerBody::Complete(HeldMessage::new(body.into(), dispatcher.state.buffers.buffer()))
+}
+
 /// Reads a complete response that is not streamed.
 ///
 /// # Errors
@@ -394,7 +408,8 @@
         }
     }
 
-    /// Asks another endpoint to continue the stream after the last event that the caller received.
+    /// Asks another endpoint to continue the stream after the last event that the caller received; it
+    /// has the software version of the one that sent the events.
     ///
     /// Returns `None` if the request must not be sent again or if the other endpoint fails.
     async fn resume(&mut self, broken: EndpointResponse, reason: &str) -> Option<EndpointResponse> {
@@ -404,6 +419,9 @@
         let last_event = self.last_event.clone();
         self.dispatcher.await_retry_after_lost_response(&work, reason).await.ok()?;
         let before = work.instance.software.clone();
+        if self.progress.is_some() {
+            self.dispatcher.continue_after(&work);
+        }
         drop(work);
         let next = self.dispatcher.dispatch(last_event.as_deref()).await.ok()?;
         log::info!(
@@ -477,6 +495,9 @@
                 return RelayEnd::Broken("it goes on at another event".into());
             }
             first = false;
+            if self.progress.is_none() {
+                self.dispatcher.note_first_event(&response.work);
+            }
             self.note_events(events.count);
             response.work.started();
             if let Some(id) = events.last_id {
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock,
     logs::part,
-    peer::{EntryReport, EntryShare, EntryUpdate, GroupReport, KnownSuspects, PeerRecord},
+    peer::{EntryReport, EntryShare, EntryUpdate, GroupReport, KnownLedgers, PeerRecord},
     state::GatewayState,
     store::{StoreRecord, StoreTopic},
 };
@@ -114,7 +114,9 @@
         let current = match topic {
             StoreTopic::Config => &mut self.config_current_at,
             StoreTopic::Endpoints => &mut self.endpoints_current_at,
-            StoreTopic::Suspects | StoreTopic::Shares | StoreTopic::Duty => return,
+            StoreTopic::Suspects | StoreTopic::Shares | StoreTopic::Duty | StoreTopic::Origins => {
+                return;
+            }
         };
         *current = at.max(*current);
         self.follower.note_read(self.config_current_at.min(self.endpoints_current_at), role);
@@ -228,6 +230,7 @@
         };
         self.archive().forget();
         self.part_archive().forget();
+        self.origins().note_loss();
         self.metrics.note_era(era);
         log::info!(
             target: part::FOLLOW, era = era, before = before, source = source;
@@ -242,7 +245,7 @@
         &self,
         shares: Vec<EntryShare>,
         wants_entries: bool,
-        known: KnownSuspects,
+        known: KnownLedgers,
     ) -> EntryReport {
         let own = self.table().own_load();
         let load = self.view().load_aggregator.group(clock::now(), &own);
@@ -266,16 +269,17 @@
 
     /// Returns a report for an entry that is not the hub, without load.
     ///
-    /// `known` tells which changes of the suspects both sides have.
+    /// `known` tells which changes of the ledgers both sides have.
     pub(crate) fn announcement(
         &self,
         shares: Vec<EntryShare>,
         wants_entries: bool,
-        known: KnownSuspects,
+        known: KnownLedgers,
     ) -> EntryReport {
         let now = clock::now();
         let suspects = self.suspects().changes_since(now, known.requests.by_peer);
         let part_suspects = self.part_suspects().changes_since(now, known.parts.by_peer);
+        let origins = self.origins().shared_since(known.origins.by_peer);
         let view = self.view();
         EntryReport {
             process: self.process.clone(),
@@ -295,6 +299,7 @@
             suspects_seen: known.requests.of_peer,
             part_suspects,
             part_suspects_seen: known.parts.of_peer,
+            origins,
             // The empty domain stands for no domain: the list has at most three entries of each.
             entries: if wants_entries { view.roster.listed_to(now, "") } else { Vec::new() },
         }
@@ -319,6 +324,11 @@
             (ledger.changes_since(now, report.part_suspects_seen), ledger.position())
         };
         self.note_era(report.era, "peer");
+        let (origins, mixed_services) = {
+            let mut known = self.origins();
+            known.merge(now, &report.origins);
+            (known.position(), known.mixed_services())
+        };
         let limits = self.answer_limits(&report);
         let mut view = self.view();
         view.note_reporter(now, &report);
@@ -355,6 +365,8 @@
                 && part_suspects.position == all_parts,
             suspects,
             part_suspects,
+            origins,
+            mixed_services,
             entries: if report.wants_entries {
                 view.roster.listed_to(now, &report.domain)
             } else {
@@ -401,6 +413,7 @@
         }
         self.apply_limits(from, sent_at, &update.limits, from_hub);
         if from_hub {
+            self.origins().note_mixed_services(&update.mixed_services);
             self.view().load_aggregator.take_from_hub(now, update.load);
             self.table().take_strict_counts(now, &update.strict_counts);
             self.set_clock_skew(update.wall_ms as i64 - self.own_wall_ms() as i64);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
     reason::DecisionReason,
     retry::{self, RetryBudget, RetryCase, RetryDecision},
     send_limit::LimitTable,
+    stream_origin::StreamOrigins,
     suspect::{PartArchive, PartLedger, SuspectArchive, SuspectLedger, SuspectLimits},
     time::TimePoint,
 };
@@ -32,6 +33,7 @@
     logs::part,
     message_buffers::MessageBuffers,
     metrics::GatewayMetrics,
+    peer::OriginClients,
     route_table::RouteTable,
     settings::GatewaySettings,
     shared_view::SharedView,
@@ -85,6 +87,10 @@
     /// The records of `part_suspects` that the store has.
     part_archive: Mutex<PartArchive>,
     pub(crate) crash_checks: CrashChecks,
+    /// Software versions that began streams.
+    origins: Mutex<StreamOrigins>,
+    /// Connections to the entries that are asked for the versions of streams.
+    pub(crate) origin_clients: OriginClients,
     usage_counter: Mutex<UsageCounter>,
     /// Last usage share of this entry, and its time.
     last_share: Mutex<Option<(TimePoint, UsageShare)>>,
@@ -114,6 +120,8 @@
             part_suspects: Mutex::new(PartLedger::new(process.incarnation)),
             part_archive: Mutex::new(PartArchive::new()),
             crash_checks: CrashChecks::default(),
+            origins: Mutex::new(StreamOrigins::new(process.incarnation)),
+            origin_clients: OriginClients::default(),
             process,
             codec,
             store,
@@ -172,6 +180,11 @@
         self.part_archive.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks the software versions that began streams.
+    pub(crate) fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.origins.lock().expect("no holder of the lock panics")
+    }
+
     /// Locks the view that is shared with other entries.
     pub(crate) fn view(&self) -> MutexGuard<'_, SharedView> {
         self.view.lock().expect("no holder of the lock panics")
@@ -311,6 +324,7 @@
                 self.apply_changes(change.into_iter().collect());
             }
             StoreTopic::Suspects => self.apply_suspect(record),
+            StoreTopic::Origins => self.apply_origin(record),
             StoreTopic::Shares | StoreTopic::Duty => {}
         }
     }
@@ -330,6 +344,12 @@
                         "endpoint listed"
                     );
                     let started_ms = endpoint.started_ms;
+                    // Before a stream can begin there, so that it is shared.
+                    self.origins().note_listed(
+                        self.wall_ms(),
+                        &endpoint.service,
+                        &endpoint.software,
+                    );
                     self.note_replaced_instances(|instance| {
                         let same = instance.name == name && instance.started_ms == started_ms;
                         !same && (instance.name == name || instance.address == endpoint.address)
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -21,6 +21,8 @@
     Duty,
     /// Requests that may crash the endpoints that run them, by fingerprint.
     Suspects,
+    /// Software versions that began streams, and those that have served lately.
+    Origins,
 }
 
 /// A record of a topic.
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -176,5 +176,6 @@
         StoreTopic::Shares => "shares",
         StoreTopic::Duty => "duty",
         StoreTopic::Suspects => "suspects",
+        StoreTopic::Origins => "origins",
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -27,6 +27,7 @@
 * [`answer`] bounds what may arrive before a message is complete.
 * [`retry`] decides whether a request that failed is sent again.
 * [`scale`] decides when endpoints are started and stopped.
+* [`stream_origin`] knows the software version at which a broken stream may go on.
 * [`suspect`] prevents a request that crashes endpoints from crashing more than two.
 
 # Example
@@ -60,5 +61,6 @@
 pub mod route;
 pub mod scale;
 pub mod send_limit;
+pub mod stream_origin;
 pub mod suspect;
 pub mod time;
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{route::hash_text, send_limit::LimitScope, time::TimePoint};
+use crate::{route::hash_text, send_limit::LimitScope, stream_origin::VersionKey, time::TimePoint};
 
 /// Time after its last use for which a shared part counts as cached at an endpoint.
 const PART_LIFE: Duration = Duration::from_secs(30);
@@ -112,6 +112,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct EndpointState {
     pub(super) spec: PlacedEndpoint,
+    /// Key of the version of the endpoint's software.
+    pub(super) version: VersionKey,
     /// Hash of the endpoint's name.
     pub(super) hash: u64,
     /// Requests of this entry whose answer is not complete.
@@ -151,6 +153,7 @@
     pub(super) fn new(spec: PlacedEndpoint) -> EndpointState {
         EndpointState {
             hash: hash_text(&spec.name),
+            version: VersionKey::new(&spec.service, &spec.software),
             spec,
             in_flight: 0,
             prefill: 0.0,
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -200,6 +200,11 @@
         self.rows.get(name)?.entry.as_ref()
     }
 
+    /// Returns the entries of all endpoints.
+    pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.rows.values().filter_map(|row| row.entry.as_ref())
+    }
+
     /// Returns the number of endpoints.
     pub fn len(&self) -> usize {
         self.live
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -1,5 +1,7 @@
 //! The properties of a request that placement needs.
 
+use crate::stream_origin::VersionKey;
+
 /// Tokens per second of each stream at an endpoint whose slots are all in use and that prefills
 /// prompts between the output tokens.
 const FULL_LOAD_RATE: f64 = 14.5;
@@ -36,6 +38,10 @@
     pub urgency: Option<u8>,
     /// Parts of the prompt in order; the last one belongs to this request alone.
     pub parts: Vec<PromptPart>,
+    /// Whether the caller holds a part of the answer already.
+    pub continues: bool,
+    /// Version that must run the request, because it began the answer; `None` if any version may.
+    pub version: Option<VersionKey>,
 }
 
 impl PlacedRequest {
@@ -44,6 +50,11 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Marks the request as one whose caller holds a part of the answer already.
+    pub fn with_continuation(self, version: Option<VersionKey>) -> PlacedRequest {
+        PlacedRequest { continues: true, version, ..self }
+    }
+
     /// Returns the last shared part, by which the request's home endpoints are chosen.
     pub fn affinity_part(&self) -> Option<PromptPart> {
         self.shared_parts().last().copied()
@@ -76,6 +87,9 @@
     }
 }
 
+/// Number of urgencies of each tier.
+const URGENCY_PER_TIER: u8 = 2;
+
 /// Largest value that [`urgency`] returns, for the least urgent requests.
 const LEAST_URGENCY: u8 = 9;
 
@@ -86,8 +100,8 @@
 /// class, a request whose account is at least as urgent as the class goes before the others.
 pub fn urgency(class: Option<u8>, account: Option<u8>) -> Option<u8> {
     let Some(class) = class else {
-        return account.map(|account| account.saturating_mul(2).min(LEAST_URGENCY));
+        return account.map(|account| account.saturating_mul(URGENCY_PER_TIER).min(LEAST_URGENCY));
     };
     let yields = u8::from(account.is_none_or(|account| account > class));
-    Some(class.saturating_mul(2).saturating_add(yields).min(LEAST_URGENCY))
+    Some(class.saturating_mul(URGENCY_PER_TIER).saturating_add(yields).min(LEAST_URGENCY))
 }
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -14,6 +14,7 @@
     reason::DecisionReason,
     route::mix,
     send_limit::LimitTable,
+    stream_origin::VersionKey,
     time::TimePoint,
 };
 
@@ -104,6 +105,7 @@
         let known = self.names.get(&spec.name).copied();
         let key = match known.filter(|key| self.endpoints.contains_key(*key)) {
             Some(key) => {
+                self.endpoints[key].version = VersionKey::new(&spec.service, &spec.software);
                 self.endpoints[key].spec = spec;
                 self.endpoints[key].lapsed = false;
                 self.endpoints[key].replaced = false;
@@ -187,11 +189,17 @@
     ) -> Result<PlaceChoice, DecisionReason> {
         self.pools.refresh(&mut self.endpoints);
         let pool = self.pools.of(&request.service);
+        let may_run =
+            |state: &EndpointState| request.version.is_none_or(|version| state.version == version);
         let mut open: Vec<(EndpointKey, &EndpointState)> = pool
             .iter()
-            .filter(|key| !excluded.contains(key))
             .map(|key| (*key, &self.endpoints[*key]))
+            .filter(|(_, state)| may_run(state))
             .collect();
+        if open.is_empty() && request.version.is_some() {
+            return Err(DecisionReason::VersionGone);
+        }
+        open.retain(|(key, _)| !excluded.contains(key));
         let first_return = open.iter().map(|(_, state)| state.excluded_until).min();
         open.retain(|(_, state)| state.excluded_until <= now);
         let first_return = first_return.filter(|at| open.is_empty() && *at != TimePoint::FAR);
@@ -284,7 +292,11 @@
     ) -> bool {
         let limit = request.load_limit(state.spec.slots, state.strict);
         let prompt = f64::from(request.prompt_tokens.max(1));
-        let reduction = if lightly_loaded { 0.0 } else { UNCACHED_RESERVE * uncached / prompt };
+        let reduction = if lightly_loaded {
+            0.0
+        } else {
+            UNCACHED_RESERVE * uncached / prompt
+        };
         state.load(now) < limit * (1.0 - reduction.min(1.0)) && self.has_memory(now, state, request)
     }
 
--- a/crates/kernel/src/reason.rs
+++ b/crates/kernel/src/reason.rs
@@ -55,6 +55,10 @@
     },
     /// No endpoint in service offers the model.
     NoEndpoint,
+    /// No endpoint of the software version that began the stream accepts requests.
+    VersionGone,
+    /// It is not known which software version began the stream, and several may have.
+    VersionUnknown,
     /// All endpoints that may run the request asked to get no requests for a time.
     EndpointsExcluded {
         /// Time until the first of them returns, in milliseconds.
@@ -165,6 +169,12 @@
                 write!(f, "holds {blocks} blocks of the prompt's prefix")
             }
             DecisionReason::NoEndpoint => write!(f, "no endpoint in service offers the model"),
+            DecisionReason::VersionGone => {
+                write!(f, "no endpoint of the version that began the stream accepts requests")
+            }
+            DecisionReason::VersionUnknown => {
+                write!(f, "it is not known which version began the stream")
+            }
             DecisionReason::EndpointsExcluded { millis } => {
                 write!(f, "all endpoints asked to be left alone, the first one for {millis} ms")
             }
--- /dev/null
+++ b/crates/kernel/src/stream_origin/origin_answer.rs
@@ -0,0 +1,73 @@
+//! Questions for the version that began a stream, and their answers.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::stream_origin::{StreamKey, VersionKey};
+
+/// Asks for the version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginQuestion {
+    /// The stream; `None` if the caller does not name it.
+    pub stream: Option<StreamKey>,
+    /// Services that run requests of the stream's route.
+    pub services: Vec<Box<str>>,
+}
+
+/// How an entry knows the version that began a stream, or why it does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginEvidence {
+    /// The entry that answers began the stream.
+    Own,
+    /// Another entry noted it.
+    Peer,
+    /// The store has it.
+    Store,
+    /// No other version of the service has served while the stream may have begun.
+    Sole,
+    /// Entries noted different versions.
+    Conflict,
+    /// There is no record, and several versions may have begun it.
+    Unknown,
+    /// There is no record yet, and the entry that answers does not know all records.
+    Incomplete,
+}
+
+impl OriginEvidence {
+    /// Returns the name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            OriginEvidence::Own => "own",
+            OriginEvidence::Peer => "peer",
+            OriginEvidence::Store => "store",
+            OriginEvidence::Sole => "sole",
+            OriginEvidence::Conflict => "conflict",
+            OriginEvidence::Unknown => "unknown",
+            OriginEvidence::Incomplete => "incomplete",
+        }
+    }
+}
+
+/// The version that began a stream, as far as an entry knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginAnswer {
+    /// The version; `None` if it is not known.
+    pub version: Option<VersionKey>,
+    /// How the version is known, or why it is not.
+    pub evidence: OriginEvidence,
+    /// Age of the evidence.
+    pub age: Duration,
+}
+
+impl OriginAnswer {
+    /// Returns an answer without a version.
+    pub(super) fn without(evidence: OriginEvidence, age: Duration) -> OriginAnswer {
+        OriginAnswer { version: None, evidence, age }
+    }
+
+    /// Reports whether an entry further up may know more.
+    pub fn is_open(&self) -> bool {
+        matches!(self.evidence, OriginEvidence::Unknown | OriginEvidence::Incomplete)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -0,0 +1,252 @@
+//! All that one entry knows of the versions that began streams.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{
+    stream_origin::{
+        ArchiveRecord, BatchError, OriginAnswer, OriginArchive, OriginDelta, OriginEvidence,
+        OriginLedger, OriginQuestion, OriginRecord, STREAM_LIFE, ServedVersion, StreamKey,
+        VersionHistory, VersionKey, origin_archive::ArchivedNews,
+    },
+    suspect::LedgerPosition,
+    time::TimePoint,
+};
+
+/// Age of an entry's copy of the store up to which the entry says that a service has one version.
+pub const MAX_SOLE_AGE: Duration = Duration::from_secs(3);
+
+/// Age of an entry's copy of the store from which on it shares all streams that it begins. It is
+/// shorter than [`MAX_SOLE_AGE`], so that the records are there when they are needed.
+const SHARING_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time for which a record is kept after its caller has stopped waiting.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(2);
+
+/// Time between two searches for expired records, in milliseconds.
+const TIDY_PERIOD_MS: u64 = 5_000;
+
+/// The versions that began streams, as one entry knows them.
+#[derive(Debug)]
+pub struct StreamOrigins {
+    ledger: OriginLedger,
+    history: VersionHistory,
+    archive: OriginArchive,
+    /// Services with several versions, as the hub says.
+    told_mixed: BTreeSet<Box<str>>,
+    /// Services whose streams are shared with other entries.
+    shared_services: BTreeSet<Box<str>>,
+    /// Whether the copy of the store is so old that all streams are shared.
+    is_stale: bool,
+    /// Wall-clock time in milliseconds at which expired records are dropped next.
+    tidied_at_ms: u64,
+}
+
+impl StreamOrigins {
+    /// Returns what the process run `incarnation` knows at its start.
+    pub fn new(incarnation: u64) -> StreamOrigins {
+        StreamOrigins {
+            ledger: OriginLedger::new(incarnation),
+            history: VersionHistory::new(),
+            archive: OriginArchive::new(),
+            told_mixed: BTreeSet::new(),
+            shared_services: BTreeSet::new(),
+            is_stale: false,
+            tidied_at_ms: 0,
+        }
+    }
+
+    /// Notes the versions of all listed endpoints and the age of the copy of the store that lists
+    /// them, and drops what has expired.
+    pub fn step<'a>(
+        &mut self,
+        wall_ms: u64,
+        store_age: Duration,
+        listed: impl Iterator<Item = (&'a str, &'a str)>,
+    ) {
+        for (service, software) in listed {
+            self.history.note_serving(wall_ms, service, software);
+        }
+        if wall_ms.abs_diff(self.tidied_at_ms) >= TIDY_PERIOD_MS {
+            self.tidied_at_ms = wall_ms;
+            self.history.expire(wall_ms);
+            self.ledger.expire(wall_ms);
+        }
+        self.is_stale = store_age > SHARING_AGE;
+        self.update_sharing();
+    }
+
+    /// Notes that a version is listed.
+    pub fn note_listed(&mut self, wall_ms: u64, service: &str, software: &str) {
+        self.history.note_serving(wall_ms, service, software);
+        self.update_sharing();
+    }
+
+    /// Notes the services that have several versions, as the hub says.
+    pub fn note_mixed_services(&mut self, services: &[Box<str>]) {
+        if !services.iter().eq(&self.told_mixed) {
+            self.told_mixed = services.iter().cloned().collect();
+            self.update_sharing();
+        }
+    }
+
+    /// Returns the services that have several versions.
+    pub fn mixed_services(&self) -> Vec<Box<str>> {
+        let known = self.history.mixed_services().into_iter();
+        known.chain(self.told_mixed.iter().cloned()).collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
+    /// Shares the streams that were noted before there was a reason to.
+    fn update_sharing(&mut self) {
+        let mixed: BTreeSet<Box<str>> = self.mixed_services().into_iter().collect();
+        let (history, is_stale) = (&self.history, self.is_stale);
+        if is_stale || mixed.difference(&self.shared_services).next().is_some() {
+            self.ledger.share(|version| {
+                let served = version.and_then(|version| history.version(version));
+                is_stale || served.is_none_or(|served| mixed.contains(&served.service))
+            });
+        }
+        self.shared_services = mixed;
+    }
+
+    /// Notes that the caller of `stream` gets its first event from the version `software` of
+    /// `service`, and that it waits until the wall-clock time `until_ms` at most.
+    ///
+    /// `is_split` tells whether several services run requests of the stream's route.
+    pub fn begin(
+        &mut self,
+        now: TimePoint,
+        stream: StreamKey,
+        service: &str,
+        software: &str,
+        until_ms: u64,
+        is_split: bool,
+    ) {
+        let version = Some(VersionKey::new(service, software));
+        let shares = is_split || self.is_stale || self.shared_services.contains(service);
+        let expires_s = (until_ms + EXPIRY_MARGIN.as_millis() as u64).div_ceil(1_000) as u32;
+        let record = OriginRecord { stream, version, expires_s };
+        self.ledger.merge(now, record, OriginEvidence::Own, shares);
+    }
+
+    /// Returns the version that began a stream, as far as this entry knows; `store_age` is the age
+    /// of its copy of the store.
+    pub fn find(
+        &self,
+        now: TimePoint,
+        store_age: Duration,
+        question: &OriginQuestion,
+    ) -> OriginAnswer {
+        let found = question.stream.and_then(|stream| self.ledger.find(now, stream));
+        if let Some(answer) = found {
+            return answer;
+        }
+        if !self.archive.is_read() {
+            return OriginAnswer::without(OriginEvidence::Incomplete, store_age);
+        }
+        let sole = match question.services.as_slice() {
+            [service] if store_age <= MAX_SOLE_AGE => self.history.sole(service),
+            _ => None,
+        };
+        match sole {
+            Some(version) => OriginAnswer {
+                version: Some(version),
+                evidence: OriginEvidence::Sole,
+                age: store_age,
+            },
+            None => OriginAnswer::without(OriginEvidence::Unknown, store_age),
+        }
+    }
+
+    /// Returns the longest time from now that a caller counts as waiting for a stream.
+    pub fn waiting_time(stated: Duration) -> Duration {
+        stated.min(STREAM_LIFE)
+    }
+
+    /// Returns the version with this key, if it is known.
+    pub fn version(&self, key: VersionKey) -> Option<&ServedVersion> {
+        self.history.version(key)
+    }
+
+    /// Returns the number of streams whose versions are known.
+    pub fn len(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Reports whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.ledger.is_empty()
+    }
+
+    /// Returns the records that were shared after `seen`, a position that a hub has reached.
+    pub fn shared_since(&self, seen: LedgerPosition) -> OriginDelta {
+        self.ledger.shared_since(seen)
+    }
+
+    /// Returns the position after all records so far.
+    pub fn position(&self) -> LedgerPosition {
+        self.ledger.position()
+    }
+
+    /// Merges the records of another entry.
+    pub fn merge(&mut self, now: TimePoint, delta: &OriginDelta) {
+        for record in &delta.records {
+            self.ledger.merge(now, *record, OriginEvidence::Peer, true);
+        }
+    }
+
+    /// Merges a record of the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record cannot be read.
+    pub fn take_archived(
+        &mut self,
+        now: TimePoint,
+        key: &str,
+        value: &[u8],
+    ) -> Result<(), BatchError> {
+        match self.archive.take(key, value)? {
+            ArchivedNews::Streams(records) => {
+                for record in records {
+                    self.ledger.merge(now, record, OriginEvidence::Store, false);
+                }
+            }
+            ArchivedNews::Version(served) => self.history.merge(&served),
+            ArchivedNews::Nothing => {}
+        }
+        Ok(())
+    }
+
+    /// Reports whether everything in the store was read.
+    pub fn is_read(&self) -> bool {
+        self.archive.is_read()
+    }
+
+    /// Notes that everything in the store was read.
+    pub fn note_read(&mut self) {
+        self.archive.note_read();
+        self.update_sharing();
+    }
+
+    /// Forgets what the store has, because this entry no longer writes on behalf of others.
+    pub fn forget_archive(&mut self) {
+        self.archive.forget();
+    }
+
+    /// Notes that the store came back from an older copy, which may lack what it had.
+    pub fn note_loss(&mut self) {
+        self.archive.forget();
+        self.ledger.share(|_| true);
+    }
+
+    /// Returns the records to write so that the store has all that this entry knows; empty if it
+    /// lacks nothing. `writer` is unique for the run of the process.
+    pub fn pending(&mut self, wall_ms: u64, writer: &str) -> Vec<ArchiveRecord> {
+        self.archive.pending(wall_ms, writer, &self.ledger, &self.history)
+    }
+
+    /// Notes that the store has the records of the last call of [`pending`](StreamOrigins::pending).
+    pub fn note_written(&mut self) {
+        self.archive.note_written();
+    }
+}
