Accept streams that callers take up again before new ones of their class

A request whose caller holds a part of the answer may use all slots that entries use, is not charged for an uncached prompt, and goes before the others of its class at the endpoint.

--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -50,9 +50,11 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
-    /// Marks the request as one whose caller holds a part of the answer already.
+    /// Marks the request as one whose caller holds a part of the answer already; it goes before
+    /// others of its class.
     pub fn with_continuation(self, version: Option<VersionKey>) -> PlacedRequest {
-        PlacedRequest { continues: true, version, ..self }
+        let urgency = self.urgency.map(|urgency| urgency - urgency % URGENCY_PER_TIER);
+        PlacedRequest { continues: true, version, urgency, ..self }
     }
 
     /// Returns the last shared part, by which the request's home endpoints are chosen.
@@ -76,6 +78,10 @@
         if self.needed_rate <= 0.0 {
             return f64::INFINITY;
         }
+        // Less than the whole answer is left, and a caller that is refused loses what it holds.
+        if self.continues {
+            return MAX_SLOT_SHARE * f64::from(slots);
+        }
         let share =
             if self.strict && strict { MAX_SLOT_SHARE } else { FULL_LOAD_RATE / self.needed_rate };
         share.min(MAX_SLOT_SHARE) * f64::from(slots)
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -292,7 +292,7 @@
     ) -> bool {
         let limit = request.load_limit(state.spec.slots, state.strict);
         let prompt = f64::from(request.prompt_tokens.max(1));
-        let reduction = if lightly_loaded {
+        let reduction = if lightly_loaded || request.continues {
             0.0
         } else {
             UNCACHED_RESERVE * uncached / prompt
