Search simulated fleets for streams that change versions, and mend what was found

The search (fleets of 1 to 410 entries; versions that come, go and return, three at once; kills of one, a part and all; entries cut off; a store that is away, forgets or loses answers; reports that are late and doubled) found two faults of the first form:

- The root hub answered from its own history of versions.
Histories now travel both ways with each exchange.
- A root hub read the records of the store once.
It reads what is new every 2 s, and answers as one that knows all for 3 s after a read.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -29,6 +29,10 @@
 /// Time between two writes to the store.
 const WRITE_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time between two reads of what other entries wrote; shorter than the age up to which the answers of
+/// this entry count as complete.
+const READ_PERIOD: Duration = Duration::from_secs(2);
+
 /// Maximum number of entries that are asked in turn: the hub, the root hub, and the entry that reads the
 /// store in its place.
 const MAX_HOPS: u32 = 3;
@@ -71,24 +75,21 @@
     /// Returns the version that began a stream, after asking `hops` further entries at most.
     pub(crate) async fn find_origin(&self, question: &OriginQuestion, hops: u32) -> OriginAnswer {
         let own = self.origins().find(clock::now(), self.store_age(), question);
-        let is_recorded = !own.is_open() && own.evidence != OriginEvidence::Sole;
         let next = match self.next_to_ask() {
-            Some(next) if hops > 0 && !is_recorded => next,
+            Some(next) if hops > 0 && !own.is_recorded() => next,
             _ => return own,
         };
-        let answer = self.origin_clients.find(next, question.clone(), hops - 1).await;
-        let Some(answer) = answer else {
+        let asked = self.origin_clients.find(next, question.clone(), hops - 1).await;
+        if asked.is_none() {
             self.roster().note_failure(clock::now(), next);
-            return own;
-        };
-        // An entry that has read the store may know less of the others than the one it asks.
-        if answer.evidence == OriginEvidence::Incomplete { own } else { answer }
+        }
+        own.or_asked(asked)
     }
 
     /// Returns the entry that may know more of streams: the hub, or for the root hub the entry that
     /// reads the store in its place.
     fn next_to_ask(&self) -> Option<std::net::SocketAddr> {
-        let is_read = self.origins().is_read();
+        let is_read = self.origins().is_read(clock::now());
         let view = self.view();
         match view.roster.hub(clock::now()) {
             HubChoice::Peer(hub) => Some(hub),
@@ -195,9 +196,18 @@
     }
 }
 
-/// Writes the versions that began streams to the store as long as this entry reads the store on
-/// behalf of others and until `stop` is cancelled; writes them once more after `stop`.
+/// Reads and writes the versions that began streams at the store, on behalf of all entries.
+struct OriginPublisher {
+    state: Arc<GatewayState>,
+    /// Era of the store, and offset of the next record to read in it; `None` if all are to be read.
+    next: Option<(u64, u64)>,
+}
+
+/// Writes the versions that began streams to the store, and reads what other entries wrote, as long
+/// as this entry reads the store on behalf of others and until `stop` is cancelled; writes once more
+/// after `stop`.
 pub(crate) async fn publish_origins(state: Arc<GatewayState>, stop: CancellationToken) {
+    let mut publisher = OriginPublisher { state: Arc::clone(&state), next: None };
     let mut turn = ReadTurn::new();
     let mut pause = WRITE_PERIOD;
     let mut stopping = false;
@@ -210,17 +220,12 @@
         let now = clock::now();
         let role = state.view().role(now);
         if !state.view().serves_others(now) {
-            // Another entry may write from now on.
-            if state.origins().is_read() {
-                state.origins().forget_archive();
-            }
+            publisher.retire();
             continue;
         }
-        let is_read = state.origins().is_read();
-        let done = if is_read { write_pending(&state).await } else { read_all(&state).await };
-        if let Err(error) = done {
+        if let Err(error) = publisher.step().await {
             log::warn!(
-                target: part::FOLLOW, error = error.to_string(), reads = !is_read;
+                target: part::FOLLOW, error = error.to_string();
                 "stream origins not exchanged with the store"
             );
             let entries = state.live_entries();
@@ -229,42 +234,84 @@
     }
 }
 
-/// Reads all records that the store has.
-async fn read_all(state: &GatewayState) -> Result<(), StoreError> {
-    let read = (state.store.newest)(StoreTopic::Origins).await;
-    state.metrics.note_store_call("origins", read.is_ok());
-    let batch = read?;
-    if state.note_era(batch.era, "store") == EraChange::Outdated {
-        return Err(StoreError::Outdated);
+impl OriginPublisher {
+    /// Forgets what the store has, because another entry may write from now on.
+    fn retire(&mut self) {
+        if self.next.take().is_some() {
+            self.state.origins().forget_archive();
+        }
     }
-    batch.records.iter().for_each(|record| state.apply_origin(record));
-    state.origins().note_read();
-    log::info!(
-        target: part::FOLLOW,
-        records = batch.records.len(), streams = state.origins().len(), era = batch.era;
-        "stream origins read"
-    );
-    Ok(())
-}
 
-/// Writes the records that the store lacks.
-async fn write_pending(state: &GatewayState) -> Result<(), StoreError> {
-    let era = state.view().era;
-    let records = state.origins().pending(state.wall_ms(), &state.process.to_string());
-    if records.is_empty() {
-        return Ok(());
+    /// Reads if that is due, and writes what the store lacks.
+    async fn step(&mut self) -> Result<(), StoreError> {
+        let (now, read_at) = (clock::now(), self.state.origins().read_at());
+        if read_at.is_none_or(|at| now.since(at) >= READ_PERIOD) {
+            self.read().await?;
+        }
+        self.write().await
     }
-    let new_record =
-        |record: ArchiveRecord| NewRecord { key: record.key, value: record.value.into() };
-    let records = records.into_iter().map(new_record).collect();
-    let sent = (state.store.append)(StoreTopic::Origins, records, None).await;
-    state.metrics.note_store_call("origins", sent.is_ok());
-    let position = sent?;
-    // A store that came back from an older copy meanwhile is written anew.
-    if position.era == era && state.note_era(era, "store") == EraChange::Same {
-        state.origins().note_written();
-    } else {
-        state.note_era(position.era, "store");
+
+    async fn read(&mut self) -> Result<(), StoreError> {
+        let sent_at = clock::now();
+        let era = self.state.view().era;
+        let read = match self.next.filter(|(known, _)| *known == era) {
+            Some((_, next)) => {
+                let read = (self.state.store.read)(StoreTopic::Origins, next, Duration::ZERO).await;
+                match read {
+                    Err(StoreError::Trimmed) => {
+                        (self.state.store.newest)(StoreTopic::Origins).await
+                    }
+                    read => read,
+                }
+            }
+            None => (self.state.store.newest)(StoreTopic::Origins).await,
+        };
+        self.state.metrics.note_store_call("origins", read.is_ok());
+        let batch = read?;
+        match self.state.note_era(batch.era, "store") {
+            EraChange::Same => {}
+            // The offset was one of the era before; the next step reads everything.
+            EraChange::Entered if self.next.is_some() => return Ok(()),
+            EraChange::Entered => {}
+            EraChange::Outdated => return Err(StoreError::Outdated),
+        }
+        batch.records.iter().for_each(|record| self.state.apply_origin(record));
+        let is_first = self.next.is_none();
+        // A read that reached its size limit ends before the end of the topic.
+        let last = batch.records.iter().map(|record| record.offset + 1).max();
+        let next = if is_first { batch.end } else { last.unwrap_or(batch.end) };
+        self.next = Some((batch.era, next));
+        if next >= batch.end {
+            self.state.origins().note_read(sent_at);
+        }
+        if is_first {
+            log::info!(
+                target: part::FOLLOW,
+                records = batch.records.len(), streams = self.state.origins().len(),
+                era = batch.era;
+                "stream origins read"
+            );
+        }
+        Ok(())
+    }
+
+    async fn write(&mut self) -> Result<(), StoreError> {
+        let state = &self.state;
+        let era = state.view().era;
+        let records = state.origins().pending(state.wall_ms(), &state.process.to_string());
+        if records.is_empty() {
+            return Ok(());
+        }
+        let new_record =
+            |record: ArchiveRecord| NewRecord { key: record.key, value: record.value.into() };
+        let records = records.into_iter().map(new_record).collect();
+        let sent = (state.store.append)(StoreTopic::Origins, records, None).await;
+        state.metrics.note_store_call("origins", sent.is_ok());
+        let position = sent?;
+        // A store that came back from an older copy meanwhile is written anew.
+        if state.note_era(position.era, "store") == EraChange::Same && position.era == era {
+            state.origins().note_written();
+        }
+        Ok(())
     }
-    Ok(())
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -16,7 +16,7 @@
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
     send_limit::{LimitAnswer, LimitReport},
-    stream_origin::{OriginAnswer, OriginDelta, OriginQuestion},
+    stream_origin::{OriginAnswer, OriginDelta, OriginQuestion, VersionNews},
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
 };
 use serde::{Deserialize, Serialize};
@@ -118,6 +118,8 @@
     pub(crate) part_suspects_seen: LedgerPosition,
     /// Versions that began streams, which the sender has not reported to the receiver yet.
     pub(crate) origins: OriginDelta,
+    /// Software versions that the receiver may not know.
+    pub(crate) versions: VersionNews,
 }
 
 /// The load of an entry and of the entries that report to it, for its hub.
@@ -175,8 +177,8 @@
     pub(crate) limits: LimitUpdate,
     /// Position in the answering entry's records of streams, which tells its runs apart.
     pub(crate) origins: LedgerPosition,
-    /// Services of which several software versions have served lately.
-    pub(crate) mixed_services: Vec<Box<str>>,
+    /// Software versions that the reporting entry may not know.
+    pub(crate) versions: VersionNews,
     /// Whether the reporting entry, after `suspects` and `part_suspects`, knows all suspects that the store has.
     pub(crate) knows_suspects: bool,
 }
@@ -210,6 +212,8 @@
     pub(crate) parts: KnownChanges,
     /// Records of streams, which are sent one way only.
     pub(crate) origins: KnownChanges,
+    /// Digest of the software versions that the peer knows.
+    pub(crate) versions: u64,
 }
 
 /// Calls between entries.
@@ -298,6 +302,7 @@
                 known.requests = known.requests.after_answer(sent.0, update.suspects.position);
                 known.parts = known.parts.after_answer(sent.1, update.part_suspects.position);
                 known.origins = known.origins.after_answer(sent_origins, update.origins);
+                known.versions = update.versions.digest;
                 if self.lost.contains(&address) {
                     self.lost.retain(|lost| *lost != address);
                     log::info!(target: part::PEER, peer = address.to_string(); "peer is back");
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -279,7 +279,10 @@
         let now = clock::now();
         let suspects = self.suspects().changes_since(now, known.requests.by_peer);
         let part_suspects = self.part_suspects().changes_since(now, known.parts.by_peer);
-        let origins = self.origins().shared_since(known.origins.by_peer);
+        let (origins, versions) = {
+            let own = self.origins();
+            (own.shared_since(known.origins.by_peer), own.version_news(known.versions))
+        };
         let view = self.view();
         EntryReport {
             process: self.process.clone(),
@@ -300,6 +303,7 @@
             part_suspects,
             part_suspects_seen: known.parts.of_peer,
             origins,
+            versions,
             // The empty domain stands for no domain: the list has at most three entries of each.
             entries: if wants_entries { view.roster.listed_to(now, "") } else { Vec::new() },
         }
@@ -324,10 +328,11 @@
             (ledger.changes_since(now, report.part_suspects_seen), ledger.position())
         };
         self.note_era(report.era, "peer");
-        let (origins, mixed_services) = {
+        let (origins, versions) = {
             let mut known = self.origins();
+            known.merge_versions(&report.versions);
             known.merge(now, &report.origins);
-            (known.position(), known.mixed_services())
+            (known.position(), known.version_news(report.versions.digest))
         };
         let limits = self.answer_limits(&report);
         let mut view = self.view();
@@ -366,7 +371,7 @@
             suspects,
             part_suspects,
             origins,
-            mixed_services,
+            versions,
             entries: if report.wants_entries {
                 view.roster.listed_to(now, &report.domain)
             } else {
@@ -412,8 +417,8 @@
             }
         }
         self.apply_limits(from, sent_at, &update.limits, from_hub);
+        self.origins().merge_versions(&update.versions);
         if from_hub {
-            self.origins().note_mixed_services(&update.mixed_services);
             self.view().load_aggregator.take_from_hub(now, update.load);
             self.table().take_strict_counts(now, &update.strict_counts);
             self.set_clock_skew(update.wall_ms as i64 - self.own_wall_ms() as i64);
--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -67,6 +67,6 @@
     origin_record::OriginRecord,
     stream_key::StreamKey,
     stream_origins::{MAX_SOLE_AGE, StreamOrigins},
-    version_history::{STREAM_LIFE, ServedVersion, VersionHistory},
+    version_history::{STREAM_LIFE, ServedVersion, VersionHistory, VersionNews},
     version_key::VersionKey,
 };
--- a/crates/kernel/src/stream_origin/origin_answer.rs
+++ b/crates/kernel/src/stream_origin/origin_answer.rs
@@ -66,8 +66,18 @@
         OriginAnswer { version: None, evidence, age }
     }
 
-    /// Reports whether an entry further up may know more.
-    pub fn is_open(&self) -> bool {
-        matches!(self.evidence, OriginEvidence::Unknown | OriginEvidence::Incomplete)
+    /// Reports whether the answer rests on a record, so that no other entry need be asked.
+    pub fn is_recorded(&self) -> bool {
+        !matches!(
+            self.evidence,
+            OriginEvidence::Sole | OriginEvidence::Unknown | OriginEvidence::Incomplete
+        )
+    }
+
+    /// Returns what this answer and that of the entry which was asked next say together; `asked` is
+    /// `None` if that entry did not answer.
+    pub fn or_asked(self, asked: Option<OriginAnswer>) -> OriginAnswer {
+        // An entry that has not read the store may know less of it than this one.
+        asked.filter(|asked| asked.evidence != OriginEvidence::Incomplete).unwrap_or(self)
     }
 }
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -8,6 +8,7 @@
         origin_batch,
     },
     suspect::LedgerPosition,
+    time::TimePoint,
 };
 
 /// Beginning of the keys of batches of records.
@@ -51,8 +52,9 @@
 /// Tracks, for the entry that writes on behalf of all, what the store has.
 #[derive(Debug, Default)]
 pub struct OriginArchive {
-    /// Whether everything in the store was read since this entry began to write.
-    is_read: bool,
+    /// Time at which everything in the store was last read; `None` if it was not read since this
+    /// entry began to write.
+    read_at: Option<TimePoint>,
     /// Position in this entry's records up to which the store has them.
     written: LedgerPosition,
     /// Wall-clock time in milliseconds at which the last record of each batch expires.
@@ -70,14 +72,14 @@
         OriginArchive::default()
     }
 
-    /// Reports whether everything in the store was read.
-    pub fn is_read(&self) -> bool {
-        self.is_read
+    /// Returns the time at which everything in the store was last read.
+    pub fn read_at(&self) -> Option<TimePoint> {
+        self.read_at
     }
 
-    /// Notes that everything in the store was read.
-    pub fn note_read(&mut self) {
-        self.is_read = true;
+    /// Notes that everything in the store was read at `now`.
+    pub fn note_read(&mut self, now: TimePoint) {
+        self.read_at = Some(now);
     }
 
     /// Forgets what the store has, because it may have lost it or another entry may write.
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -6,7 +6,7 @@
     stream_origin::{
         ArchiveRecord, BatchError, OriginAnswer, OriginArchive, OriginDelta, OriginEvidence,
         OriginLedger, OriginQuestion, OriginRecord, STREAM_LIFE, ServedVersion, StreamKey,
-        VersionHistory, VersionKey, origin_archive::ArchivedNews,
+        VersionHistory, VersionKey, VersionNews, origin_archive::ArchivedNews,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -31,8 +31,6 @@
     ledger: OriginLedger,
     history: VersionHistory,
     archive: OriginArchive,
-    /// Services with several versions, as the hub says.
-    told_mixed: BTreeSet<Box<str>>,
     /// Services whose streams are shared with other entries.
     shared_services: BTreeSet<Box<str>>,
     /// Whether the copy of the store is so old that all streams are shared.
@@ -48,7 +46,6 @@
             ledger: OriginLedger::new(incarnation),
             history: VersionHistory::new(),
             archive: OriginArchive::new(),
-            told_mixed: BTreeSet::new(),
             shared_services: BTreeSet::new(),
             is_stale: false,
             tidied_at_ms: 0,
@@ -81,18 +78,22 @@
         self.update_sharing();
     }
 
-    /// Notes the services that have several versions, as the hub says.
-    pub fn note_mixed_services(&mut self, services: &[Box<str>]) {
-        if !services.iter().eq(&self.told_mixed) {
-            self.told_mixed = services.iter().cloned().collect();
+    /// Returns the versions that an entry lacks whose history has the digest `known`.
+    pub fn version_news(&self, known: u64) -> VersionNews {
+        self.history.news(known)
+    }
+
+    /// Merges the versions that another entry knows.
+    pub fn merge_versions(&mut self, news: &VersionNews) {
+        if !news.versions.is_empty() {
+            news.versions.iter().for_each(|served| self.history.merge(served));
             self.update_sharing();
         }
     }
 
     /// Returns the services that have several versions.
     pub fn mixed_services(&self) -> Vec<Box<str>> {
-        let known = self.history.mixed_services().into_iter();
-        known.chain(self.told_mixed.iter().cloned()).collect::<BTreeSet<_>>().into_iter().collect()
+        self.history.mixed_services()
     }
 
     /// Shares the streams that were noted before there was a reason to.
@@ -140,7 +141,7 @@
         if let Some(answer) = found {
             return answer;
         }
-        if !self.archive.is_read() {
+        if !self.is_read(now) {
             return OriginAnswer::without(OriginEvidence::Incomplete, store_age);
         }
         let sole = match question.services.as_slice() {
@@ -217,14 +218,20 @@
         Ok(())
     }
 
-    /// Reports whether everything in the store was read.
-    pub fn is_read(&self) -> bool {
-        self.archive.is_read()
+    /// Reports whether this entry knows what the store had [`MAX_SOLE_AGE`] ago.
+    pub fn is_read(&self, now: TimePoint) -> bool {
+        self.archive.read_at().is_some_and(|at| now.since(at) <= MAX_SOLE_AGE)
+    }
+
+    /// Returns the time at which everything in the store was last read; `None` if it was not read
+    /// since this entry began to write.
+    pub fn read_at(&self) -> Option<TimePoint> {
+        self.archive.read_at()
     }
 
-    /// Notes that everything in the store was read.
-    pub fn note_read(&mut self) {
-        self.archive.note_read();
+    /// Notes that everything in the store was read at `now`.
+    pub fn note_read(&mut self, now: TimePoint) {
+        self.archive.note_read(now);
         self.update_sharing();
     }
 
--- a/crates/kernel/src/stream_origin/version_history.rs
+++ b/crates/kernel/src/stream_origin/version_history.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::stream_origin::VersionKey;
+use crate::{route::mix, stream_origin::VersionKey};
 
 /// Longest time for which a caller waits for a stream, over all its tries.
 pub const STREAM_LIFE: Duration = Duration::from_secs(600);
@@ -23,6 +23,15 @@
     pub until_ms: u64,
 }
 
+/// The versions that an entry tells another one of.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionNews {
+    /// Digest of all versions that the sender knows.
+    pub digest: u64,
+    /// These versions; empty if the receiver knows them.
+    pub versions: Vec<ServedVersion>,
+}
+
 /// The versions that may have begun a stream which a caller still waits for.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
@@ -54,6 +63,19 @@
         self.rows.retain(|_, row| row.until_ms > wall_ms);
     }
 
+    /// Returns a digest that histories with the same versions share.
+    pub fn digest(&self) -> u64 {
+        self.rows.iter().fold(0, |digest, (key, row)| digest ^ mix(key.0, row.until_ms))
+    }
+
+    /// Returns what an entry lacks whose history has the digest `known`.
+    pub fn news(&self, known: u64) -> VersionNews {
+        let digest = self.digest();
+        let is_known = digest == known;
+        let versions = self.rows.values().filter(|_| !is_known).cloned().collect();
+        VersionNews { digest, versions }
+    }
+
     /// Returns all versions.
     pub fn rows(&self) -> impl Iterator<Item = (VersionKey, &ServedVersion)> {
         self.rows.iter().map(|(key, row)| (*key, row))
--- /dev/null
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -0,0 +1,454 @@
+//! A simulated fleet, its callers, and what is checked of it.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use pimentorock_kernel::{
+    stream_origin::{
+        MAX_SOLE_AGE, OriginAnswer, OriginDelta, OriginEvidence, OriginQuestion, StreamKey,
+        VersionKey,
+    },
+    time::TimePoint,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    OriginPlan,
+    simulated_entry::{SERVICE, SimulatedEntry},
+    simulated_store::SimulatedStore,
+};
+
+/// Length of a tick.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Ticks between two exchanges, two writes, and two reads of the endpoints.
+const EXCHANGE_TICKS: u64 = 4;
+const WRITE_TICKS: u64 = 4;
+const READ_TICKS: u64 = 8;
+
+/// Time between two reads of the entries' records.
+const READ_PERIOD: Duration = Duration::from_secs(2);
+
+/// All versions; any of them may come, go and return.
+const VERSIONS: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Number of versions that serve at most at the same time.
+const MAX_SERVING: usize = 3;
+
+/// Tries of a caller to take up its stream.
+const TRIES: u32 = 3;
+
+/// Ticks between two tries of a caller.
+const RETRY_TICKS: u64 = 20;
+
+/// A stream and its caller.
+#[derive(Clone, Debug)]
+struct SimulatedStream {
+    key: StreamKey,
+    version: &'static str,
+    /// Entry, and its run, that relays the stream; `None` while the stream is broken.
+    at: Option<(usize, u64)>,
+    /// Tick of the next try, while the stream is broken.
+    retry_at: u64,
+    tries: u32,
+    ends_at: u64,
+}
+
+/// What became of the streams that were taken up while their version served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TakeUps {
+    pub went_on: usize,
+    pub given_up: usize,
+}
+
+/// A fleet of entries with one service.
+pub struct OriginFleet {
+    plan: OriginPlan,
+    random: ChaCha8Rng,
+    now: TimePoint,
+    tick: u64,
+    entries: Vec<SimulatedEntry>,
+    store: SimulatedStore,
+    /// Versions whose endpoints serve, and the time at which the store last began to list each
+    /// version.
+    serving: BTreeSet<&'static str>,
+    listed_since: std::collections::BTreeMap<&'static str, TimePoint>,
+    streams: Vec<SimulatedStream>,
+    /// Reports that come again.
+    late_reports: Vec<(u64, usize, OriginDelta)>,
+    down_until: u64,
+    away_until: u64,
+    incarnations: u64,
+    pub take_ups: TakeUps,
+    /// Streams that went on at another version, although the bound does not allow it.
+    pub violations: Vec<String>,
+    /// Streams that went on at another version as the bound allows.
+    pub excepted: usize,
+}
+
+impl OriginFleet {
+    /// Returns a fleet in which version "a" serves.
+    pub fn new(plan: OriginPlan, seed: u64) -> OriginFleet {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let entries = (0..plan.entries)
+            .map(|index| SimulatedEntry::new(index as u64 + 1, random.random_range(0..250)));
+        let entries: Vec<_> = entries.collect();
+        let mut fleet = OriginFleet {
+            plan,
+            random,
+            now: TimePoint::from_millis(100_000),
+            tick: 0,
+            entries,
+            store: SimulatedStore::default(),
+            serving: BTreeSet::from(["a"]),
+            listed_since: Default::default(),
+            streams: Vec::new(),
+            late_reports: Vec::new(),
+            down_until: 0,
+            away_until: 0,
+            incarnations: plan.entries as u64 + 1,
+            take_ups: TakeUps::default(),
+            violations: Vec::new(),
+            excepted: 0,
+        };
+        fleet.list_endpoints();
+        fleet
+    }
+
+    /// Plays all ticks of the plan.
+    pub fn play(&mut self) {
+        for _ in 0..self.plan.ticks {
+            self.play_tick();
+        }
+    }
+
+    /// Plays one tick.
+    pub fn play_tick(&mut self) {
+        self.tick += 1;
+        self.now = self.now + TICK;
+        self.trouble();
+        self.exchange();
+        self.use_store();
+        self.begin_streams();
+        self.take_up_streams();
+    }
+
+    /// Lets `version` serve, or ends it.
+    pub fn toggle(&mut self, version: &'static str) {
+        if !self.serving.remove(version) {
+            self.serving.insert(version);
+        }
+    }
+
+    /// Kills the entries that `is_killed` names; they start again after `ticks`.
+    pub fn kill(&mut self, ticks: u64, is_killed: impl Fn(usize) -> bool) {
+        self.down_until = self.down_until.max(self.tick + ticks);
+        for index in (0..self.entries.len()).filter(|index| is_killed(*index)) {
+            self.entries[index].is_alive = false;
+        }
+    }
+
+    /// Lets the store be away for a number of ticks.
+    pub fn lose_store(&mut self, ticks: u64) {
+        self.away_until = self.tick + ticks;
+    }
+
+    fn draw(&mut self, per_mille: u64) -> bool {
+        self.random.random_range(0..1_000) < per_mille
+    }
+
+    fn below(&mut self, end: usize) -> usize {
+        self.random.random_range(0..end.max(1))
+    }
+
+    fn trouble(&mut self) {
+        let plan = self.plan;
+        let count = self.entries.len();
+        if self.draw(plan.version_changes) {
+            let version = VERSIONS[self.below(VERSIONS.len())];
+            let is_last = self.serving.len() == 1 && self.serving.contains(version);
+            let is_full = self.serving.len() >= MAX_SERVING && !self.serving.contains(version);
+            if !is_last && !is_full {
+                self.toggle(version);
+            }
+        }
+        if self.draw(plan.kills) {
+            let killed = self.below(count);
+            self.kill(20, |index| index == killed);
+        }
+        if self.draw(plan.part_kills) {
+            let share = 2 + self.below(4);
+            self.kill(30, |index| index % share == 0);
+        }
+        if self.draw(plan.total_kills) {
+            self.kill(40, |_| true);
+        }
+        if self.draw(plan.cuts) {
+            let (cut, ticks) = (self.below(count), 20 + self.below(200) as u64);
+            self.entries[cut].cut_until = self.tick + ticks;
+        }
+        if self.draw(plan.store_cuts) {
+            let (cut, ticks) = (self.below(count), 20 + self.below(200) as u64);
+            self.entries[cut].store_cut_until = self.tick + ticks;
+        }
+        if self.draw(plan.outages) {
+            let ticks = 20 + self.below(160) as u64;
+            self.lose_store(ticks);
+        }
+        if self.draw(plan.older_copies) {
+            self.store.restore();
+        }
+        if self.tick % 40 == 0 {
+            self.store.make_copy();
+        }
+        self.store.is_away = self.tick < self.away_until;
+        if self.tick >= self.down_until {
+            for index in 0..count {
+                if !self.entries[index].is_alive {
+                    self.incarnations += 1;
+                    let skew_ms = self.entries[index].skew_ms;
+                    self.entries[index] = SimulatedEntry::new(self.incarnations, skew_ms);
+                }
+            }
+        }
+        if !self.store.is_away {
+            self.list_endpoints();
+        }
+    }
+
+    fn list_endpoints(&mut self) {
+        for version in self.serving.difference(&self.store.listed) {
+            self.listed_since.insert(version, self.now);
+        }
+        self.store.listed = self.serving.clone();
+    }
+
+    fn is_cut(&self, index: usize) -> bool {
+        self.tick < self.entries[index].cut_until
+    }
+
+    fn reaches_store(&self, index: usize) -> bool {
+        !self.store.is_away && self.tick >= self.entries[index].store_cut_until
+    }
+
+    /// Returns the hub of an entry; `None` if the entry is a root hub.
+    fn hub(&self, index: usize) -> Option<usize> {
+        let domains = self.plan.domains;
+        let is_peer =
+            |peer: &usize| *peer < index && self.entries[*peer].is_alive && !self.is_cut(*peer);
+        if self.is_cut(index) {
+            return None;
+        }
+        let local = (0..index).filter(is_peer).find(|peer| peer % domains == index % domains);
+        local.or_else(|| (0..index).find(is_peer))
+    }
+
+    fn exchange(&mut self) {
+        for index in 0..self.entries.len() {
+            let is_due = (self.tick + index as u64) % EXCHANGE_TICKS == 0;
+            if !is_due || !self.entries[index].is_alive {
+                continue;
+            }
+            let (now, entry) = (self.now, &mut self.entries[index]);
+            let (wall_ms, age) = (entry.wall_ms(now), entry.store_age(now));
+            let listed: Vec<_> = entry.listed.iter().map(|version| (SERVICE, *version)).collect();
+            entry.origins.step(wall_ms, age, listed.into_iter());
+            if let Some(hub) = self.hub(index) {
+                self.report(index, hub);
+            }
+        }
+        let due: Vec<_> = self.late_reports.extract_if(.., |(at, _, _)| *at <= self.tick).collect();
+        for (_, hub, delta) in due {
+            if self.entries[hub].is_alive {
+                self.entries[hub].origins.merge(self.now, &delta);
+            }
+        }
+    }
+
+    fn report(&mut self, index: usize, hub: usize) {
+        let (now, hub_run) = (self.now, self.entries[hub].incarnation);
+        let known = self.entries[index].known.get(&hub).copied();
+        let known = known.filter(|(run, _, _)| *run == hub_run);
+        let (_, seen, digest) = known.unwrap_or_default();
+        let delta = self.entries[index].origins.shared_since(seen);
+        let news = self.entries[index].origins.version_news(digest);
+        if self.draw(self.plan.repeated_reports) {
+            let (at, to) = (self.tick + self.below(100) as u64, self.below(self.entries.len()));
+            self.late_reports.push((at, to, delta.clone()));
+        }
+        self.entries[hub].origins.merge_versions(&news);
+        self.entries[hub].origins.merge(now, &delta);
+        let news = self.entries[hub].origins.version_news(news.digest);
+        let (listed, current_at) = (self.entries[hub].listed.clone(), self.entries[hub].current_at);
+        let era = self.entries[hub].era;
+        if self.draw(self.plan.lost_answers) {
+            return;
+        }
+        let entry = &mut self.entries[index];
+        entry.known.insert(hub, (hub_run, delta.position, news.digest));
+        entry.note_era(era);
+        entry.take_list(now, &listed, current_at);
+        entry.origins.merge_versions(&news);
+    }
+
+    /// Lets root hubs read and write the store.
+    fn use_store(&mut self) {
+        for index in 0..self.entries.len() {
+            if !self.entries[index].is_alive {
+                continue;
+            }
+            if self.hub(index).is_some() {
+                if std::mem::take(&mut self.entries[index].writes) {
+                    self.entries[index].origins.forget_archive();
+                }
+                continue;
+            }
+            self.entries[index].writes = true;
+            if !self.reaches_store(index) {
+                continue;
+            }
+            if self.tick % READ_TICKS == 0 || self.entries[index].listed.is_empty() {
+                let (now, listed) = (self.now, self.store.listed.clone());
+                self.entries[index].note_era(self.store.era);
+                self.entries[index].take_list(now, &listed, now);
+            }
+            if (self.tick + index as u64) % WRITE_TICKS == 0 {
+                self.write(index);
+            }
+        }
+    }
+
+    fn write(&mut self, index: usize) {
+        let is_lost = self.draw(self.plan.lost_answers);
+        let (now, entry) = (self.now, &mut self.entries[index]);
+        entry.note_era(self.store.era);
+        if entry.origins.read_at().is_none_or(|at| now.since(at) >= READ_PERIOD) {
+            for (key, value) in &self.store.records {
+                entry.origins.take_archived(now, key, value).unwrap();
+            }
+            entry.origins.note_read(now);
+        }
+        let records = entry.origins.pending(entry.wall_ms(now), &entry.incarnation.to_string());
+        self.store.append(records);
+        if !is_lost {
+            entry.origins.note_written();
+        }
+    }
+
+    /// Returns an entry that serves callers.
+    fn serving_entry(&mut self) -> Option<usize> {
+        let index = self.below(self.entries.len());
+        let entry = &self.entries[index];
+        (entry.is_alive && !entry.listed.is_empty()).then_some(index)
+    }
+
+    fn begin_streams(&mut self) {
+        let count = self.plan.streams / 1_000 + u64::from(self.draw(self.plan.streams % 1_000));
+        for _ in 0..count {
+            let Some(index) = self.serving_entry() else { continue };
+            let choices: Vec<_> =
+                self.entries[index].listed.intersection(&self.serving).copied().collect();
+            if choices.is_empty() {
+                continue;
+            }
+            let version = choices[self.below(choices.len())];
+            let key = StreamKey(self.random.random());
+            let ends_at = self.tick + 100 + self.below(500) as u64;
+            self.note_begun(index, key, version, ends_at);
+            let at = Some((index, self.entries[index].incarnation));
+            let (retry_at, tries) = (0, 0);
+            self.streams.push(SimulatedStream { key, version, at, retry_at, tries, ends_at });
+        }
+    }
+
+    fn note_begun(&mut self, index: usize, key: StreamKey, version: &str, ends_at: u64) {
+        let (now, entry) = (self.now, &mut self.entries[index]);
+        let until_ms = entry.wall_ms(now) + (ends_at - self.tick) * TICK.as_millis() as u64;
+        entry.origins.begin(now, key, SERVICE, version, until_ms, false);
+    }
+
+    fn take_up_streams(&mut self) {
+        let mut streams = std::mem::take(&mut self.streams);
+        streams.retain(|stream| stream.ends_at > self.tick && stream.tries < TRIES);
+        for stream in &mut streams {
+            if let Some((index, run)) = stream.at {
+                let lives = self.entries[index].is_alive && self.entries[index].incarnation == run;
+                if !lives || self.draw(2) {
+                    stream.at = None;
+                    stream.retry_at = self.tick + self.below(160) as u64;
+                }
+            } else if stream.retry_at <= self.tick {
+                self.take_up(stream);
+            }
+        }
+        self.streams = streams;
+    }
+
+    fn take_up(&mut self, stream: &mut SimulatedStream) {
+        stream.retry_at = self.tick + RETRY_TICKS;
+        let Some(index) = self.serving_entry() else { return };
+        let question = OriginQuestion { stream: Some(stream.key), services: vec![SERVICE.into()] };
+        let answer = self.find(index, &question);
+        let listed = &self.entries[index].listed;
+        let goes_on =
+            listed.iter().find(|version| answer.version == Some(VersionKey::new(SERVICE, version)));
+        stream.tries += 1;
+        match goes_on.copied() {
+            Some(version) if version == stream.version => {
+                self.take_ups.went_on += 1;
+                stream.at = Some((index, self.entries[index].incarnation));
+                stream.tries = 0;
+                self.note_begun(index, stream.key, version, stream.ends_at);
+            }
+            Some(version) if self.serving.contains(version) => {
+                self.note_violation(index, stream, version, &answer);
+            }
+            _ if stream.tries == TRIES && self.serving.contains(stream.version) => {
+                self.take_ups.given_up += 1;
+            }
+            _ => {}
+        }
+    }
+
+    fn note_violation(
+        &mut self,
+        index: usize,
+        stream: &SimulatedStream,
+        version: &str,
+        answer: &OriginAnswer,
+    ) {
+        let listed_for = self.listed_since.get(stream.version).map(|at| self.now.since(*at));
+        let is_new = listed_for.is_some_and(|span| span < MAX_SOLE_AGE);
+        // Neither the store nor any entry that the others reach knows that the version has served.
+        let is_forgotten = !self.is_known(stream.version);
+        if answer.evidence == OriginEvidence::Sole && (is_new || is_forgotten) {
+            self.excepted += 1;
+            return;
+        }
+        self.violations.push(format!(
+            "tick {}: a stream of {} went on at {version} at entry {index}, {:?} {:?}, listed {:?}",
+            self.tick, stream.version, answer.evidence, answer.age, listed_for
+        ));
+    }
+
+    /// Reports whether the store or an entry knows that a version has served.
+    fn is_known(&self, version: &str) -> bool {
+        let key = VersionKey::new(SERVICE, version);
+        let entries = self.entries.iter().enumerate();
+        let mut histories = entries
+            .filter(|(index, entry)| entry.is_alive && !self.is_cut(*index))
+            .map(|(_, entry)| entry.origins.version(key).is_some());
+        let stored = format!("version.{:016x}", key.0);
+        histories.any(|is_known| is_known) || self.store.records.contains_key(&*stored)
+    }
+
+    /// Asks an entry, and up the hubs, for the version of a stream.
+    fn find(&self, index: usize, question: &OriginQuestion) -> OriginAnswer {
+        let entry = &self.entries[index];
+        let own = entry.origins.find(self.now, entry.store_age(self.now), question);
+        match self.hub(index).filter(|_| !own.is_recorded()) {
+            Some(hub) => own.or_asked(Some(self.find(hub, question))),
+            None => own,
+        }
+    }
+}
