--- a/crates/kernel/benches/place.rs
+++ b/crates/kernel/benches/place.rs
@@ -40,6 +40,8 @@
             PromptPart { id: part, tokens: 5_000 },
             PromptPart { id: part + 1, tokens: 6_000 },
         ],
+        continues: false,
+        version: None,
     }
 }
 
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -198,7 +198,7 @@
         if self.draw(plan.older_copies) {
             self.store.restore();
         }
-        if self.tick % 40 == 0 {
+        if self.tick.is_multiple_of(40) {
             self.store.make_copy();
         }
         self.store.is_away = self.tick < self.away_until;
@@ -245,7 +245,7 @@
 
     fn exchange(&mut self) {
         for index in 0..self.entries.len() {
-            let is_due = (self.tick + index as u64) % EXCHANGE_TICKS == 0;
+            let is_due = (self.tick + index as u64).is_multiple_of(EXCHANGE_TICKS);
             if !is_due || !self.entries[index].is_alive {
                 continue;
             }
@@ -307,12 +307,12 @@
             if !self.reaches_store(index) {
                 continue;
             }
-            if self.tick % READ_TICKS == 0 || self.entries[index].listed.is_empty() {
+            if self.tick.is_multiple_of(READ_TICKS) || self.entries[index].listed.is_empty() {
                 let (now, listed) = (self.now, self.store.listed.clone());
                 self.entries[index].note_era(self.store.era);
                 self.entries[index].take_list(now, &listed, now);
             }
-            if (self.tick + index as u64) % WRITE_TICKS == 0 {
+            if (self.tick + index as u64).is_multiple_of(WRITE_TICKS) {
                 self.write(index);
             }
         }
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -9,6 +9,7 @@
         strict_pauses, urgency,
     },
     reason::DecisionReason,
+    stream_origin::VersionKey,
     time::TimePoint,
 };
 use quickcheck::{Arbitrary, Gen};
@@ -52,6 +53,8 @@
             PromptPart { id: part, tokens: 5_000 },
             PromptPart { id: part ^ 0xffff, tokens: 6_000 },
         ],
+        continues: false,
+        version: None,
     }
 }
 
@@ -68,6 +71,8 @@
             PromptPart { id: part, tokens: 200 },
             PromptPart { id: part ^ 0xffff, tokens: 600 },
         ],
+        continues: false,
+        version: None,
     }
 }
 
@@ -339,3 +344,43 @@
         }
     }
 }
+
+/// Guards against a stream that goes on at another version, because its own is full or excluded.
+#[test]
+fn a_stream_goes_on_at_the_version_that_began_it_only() {
+    let mut table = PlacementTable::new("a");
+    for (name, software) in [("e0", "v1"), ("e1", "v2"), ("e2", "v2")] {
+        table.put(PlacedEndpoint { software: software.into(), ..endpoint(name, "a") });
+    }
+    let key = |name| table.key(name).unwrap();
+    let (old, new) = (key("e0"), [key("e1"), key("e2")]);
+    let began_at = |software| Some(VersionKey::new("engine", software));
+    let request = digest(7).with_continuation(began_at("v1"));
+    assert_eq!(table.choose(NOW, &request, &[]).unwrap().endpoint, old);
+    assert_eq!(table.choose(NOW, &request, &[old]), Err(DecisionReason::NoEndpoint));
+    let request = digest(7).with_continuation(began_at("v2"));
+    assert!(new.contains(&table.choose(NOW, &request, &[]).unwrap().endpoint));
+    let request = digest(7).with_continuation(began_at("v3"));
+    assert_eq!(table.choose(NOW, &request, &[]), Err(DecisionReason::VersionGone));
+    // An endpoint that returns under its name with other software is one of the other version.
+    table.put(PlacedEndpoint { software: "v2".into(), ..endpoint("e0", "a") });
+    let request = digest(7).with_continuation(began_at("v1"));
+    assert_eq!(table.choose(NOW, &request, &[]), Err(DecisionReason::VersionGone));
+}
+
+/// Guards against callers that lose half an answer to requests which have only begun.
+#[test]
+fn a_request_that_continues_is_placed_where_new_ones_of_its_urgency_are_not() {
+    let mut table = table(1);
+    let new = PlacedRequest { urgency: urgency(Some(2), None), ..digest(7) };
+    while table.choose(NOW, &new, &[]).is_ok() {
+        place(&mut table, &new);
+    }
+    let again = new.clone().with_continuation(None);
+    assert!(table.choose(NOW, &again, &[]).is_ok());
+    assert_eq!((new.urgency, again.urgency), (Some(5), Some(4)));
+    let more_urgent = PlacedRequest { urgency: urgency(Some(1), None), ..digest(7) };
+    assert!(more_urgent.urgency < again.urgency);
+    let without_tier = digest(7).with_continuation(None);
+    assert_eq!(without_tier.urgency, None);
+}
