--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -99,8 +99,7 @@
 /// Exchanges state with other entries until `stop` is cancelled.
 ///
 /// Reports to the hub if another entry is the hub, and fetches newer data than the hub's from an entry
-/// that has them. The root hub, and an entry with stale data whose hub does not answer, call other
-/// known entries by turns.
+/// that has them. The root hub, and an entry with stale data, call other known entries by turns.
 pub(crate) async fn exchange_with_peers(state: Arc<GatewayState>, stop: CancellationToken) {
     let mut clients = PeerClients::default();
     let mut announced_at = TimePoint::ZERO;
@@ -113,13 +112,12 @@
             (view.roster.hub(now), view.roster.period(now), view.is_stale(now))
         };
         state.step_limits(hub, exchange_period);
-        let mut served = false;
         match hub {
             HubChoice::Peer(address) => {
                 let wants_entries =
                     entries_sent_at.is_none_or(|at| now.since(at) >= ENTRY_LIST_PERIOD);
-                served = report_to_hub(&state, &mut clients, address, wants_entries).await;
-                if served && wants_entries {
+                let is_served = report_to_hub(&state, &mut clients, address, wants_entries).await;
+                if is_served && wants_entries {
                     entries_sent_at = Some(now);
                 }
             }
@@ -133,7 +131,8 @@
             call_source(&state, &mut clients, address).await;
         }
         let period = if stale { DISCOVERY_PERIOD } else { ANNOUNCE_PERIOD };
-        let looks_around = hub == HubChoice::Own || (stale && !served);
+        // While the store is away, what entries know must not die with them and their hubs.
+        let looks_around = hub == HubChoice::Own || stale;
         if looks_around && now.since(announced_at) >= period {
             announced_at = now;
             round += 1;
