Soak: two software versions, and callers that take up long streams elsewhere

Callers of streams longer than the route's timeout take them up again at one entry after the other, with kills, pauses and store drills. No stream may have events of two versions, and some must go on. The simulated fleets also play a kill of all entries while the store is away.

--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -110,3 +110,22 @@
         check_share(&format!("seed {seed}"), &fleet, 1.0);
     }
 }
+
+/// What began during the outage is known to the entries only.
+#[test]
+fn take_ups_go_on_after_a_kill_of_all_while_the_store_is_away() {
+    for seed in 0..5 {
+        let plan = OriginPlan { ticks: 500, streams: 4_000, ..OriginPlan::calm(12) };
+        let mut fleet = OriginFleet::new(plan, seed);
+        for tick in 0..plan.ticks {
+            match tick {
+                40 => fleet.toggle("b"),
+                200 => fleet.lose_store(120),
+                300 => fleet.kill(20, |_| true),
+                _ => {}
+            }
+            fleet.play_tick();
+        }
+        check_share(&format!("seed {seed}"), &fleet, 0.5);
+    }
+}
