Derive the versions of streams that begin while the store is away

The root hub writes a marker with the time and the versions' shares; entries that have not heard of a later one for about a second begin streams at the version that follows from the stream's identifier and these shares. The next root hub sees the gap. A stream without a record whose caller, by its own deadline, first asked within a gap goes on at that version. Nothing is derived if an entry was missing when the marker was written, if the shares had just changed, after another era of the store, or once an entry is lost.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -203,7 +203,7 @@
 ) -> Response<CallerBody> {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
-    let Some(routes) = state.routes.load_full().filter(|_| state.view().knows_suspects) else {
+    let Some(routes) = state.routes.load_full().filter(|_| state.knows_fleet()) else {
         return reject_unconfigured(state);
     };
     let head = (state.codec.caller_head)(&parts.headers);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,14 +1,14 @@
 //! Finds the software version at which a stream may go on, and keeps the versions of streams in the
 //! store.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use pimentorock_kernel::{
     hub::{HubChoice, ReadTurn},
     reason::DecisionReason,
     stream_origin::{
-        ArchiveRecord, OriginAnswer, OriginEvidence, OriginQuestion, StreamKey, StreamOrigins,
-        VersionKey,
+        ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginQuestion, StreamKey,
+        StreamOrigins, VersionKey, VersionShare,
     },
 };
 use tokio::time::sleep;
@@ -20,6 +20,7 @@
     dispatcher::RequestDispatcher,
     fleet_config::RouteKind,
     logs::part,
+    peer::PEER_TIMEOUT,
     shared_view::EraChange,
     state::GatewayState,
     store::{NewRecord, StoreError, StoreRecord, StoreTopic},
@@ -33,6 +34,10 @@
 /// this entry count as complete.
 const READ_PERIOD: Duration = Duration::from_secs(2);
 
+/// Maximum time for which an entry that has a configuration waits for the marker of stream origins
+/// before it serves requests without it.
+const MAX_MARKER_DELAY: Duration = Duration::from_secs(2);
+
 /// Maximum number of entries that are asked in turn: the hub, the root hub, and the entry that reads the
 /// store in its place.
 const MAX_HOPS: u32 = 3;
@@ -53,13 +58,50 @@
     /// Notes the versions that serve, and shares streams if they may not be inferred.
     pub(crate) fn step_origins(&self) {
         let (wall_ms, store_age) = (self.wall_ms(), self.store_age());
+        let configured_at = self.view().configured_at;
+        let waited = configured_at.map(|at| clock::now().since(at));
         let directory = self.directory();
         let listed = directory.entries().map(|entry| (&*entry.service, &*entry.software));
         let mut origins = self.origins();
         origins.step(wall_ms, store_age, listed);
+        if waited.is_some_and(|waited| waited >= MAX_MARKER_DELAY) && !origins.knows_marker() {
+            origins.note_marker_known();
+            log::warn!(
+                target: part::FOLLOW,
+                "serving without the marker of stream origins: neither the store nor a peer provides it"
+            );
+        }
         self.metrics.note_origins(origins.len(), origins.mixed_services().len());
     }
 
+    /// Returns the time by which what an entry knows has reached the root hub.
+    fn report_time(&self) -> Duration {
+        2 * self.view().roster.period(clock::now()) + PEER_TIMEOUT / 2
+    }
+
+    /// Returns what the next marker says of the fleet.
+    fn marker_input(&self, era: u64) -> MarkerInput {
+        let now = clock::now();
+        let mixed = self.origins().mixed_services();
+        let (present, reach) = {
+            let mut view = self.view();
+            let others = view.load_aggregator.others(now).entries;
+            (others + 1, view.roster.max_store_age(now))
+        };
+        let mut slots: BTreeMap<(Box<str>, Box<str>), u32> = BTreeMap::new();
+        for entry in self.directory().entries() {
+            if !entry.leaving && mixed.contains(&entry.service) {
+                let version = (entry.service.clone(), entry.software.clone());
+                *slots.entry(version).or_default() += entry.slots;
+            }
+        }
+        let share = |((service, software), slots)| VersionShare { service, software, slots };
+        let shares = slots.into_iter().map(share).collect();
+        let reach_ms = reach.as_millis() as u64;
+        let writer = self.process.incarnation;
+        MarkerInput { era, writer, present: present as u32, reach_ms, shares }
+    }
+
     /// Applies a record of the topic of streams' versions.
     pub(crate) fn apply_origin(&self, record: &StoreRecord) {
         let value = record.value.as_deref().unwrap_or_default();
@@ -74,7 +116,8 @@
 
     /// Returns the version that began a stream, after asking `hops` further entries at most.
     pub(crate) async fn find_origin(&self, question: &OriginQuestion, hops: u32) -> OriginAnswer {
-        let own = self.origins().find(clock::now(), self.store_age(), question);
+        let store_age = self.store_age();
+        let own = self.origins().find(clock::now(), store_age, question);
         let next = match self.next_to_ask() {
             Some(next) if hops > 0 && !own.is_recorded() => next,
             _ => return own,
@@ -109,18 +152,31 @@
     /// Fails if the version is not known, or if the route has no endpoints of it any more.
     pub(crate) async fn find_version(&mut self) -> Result<(), DispatchFailure> {
         let request = Arc::clone(&self.request);
-        if request.route.kind != RouteKind::Stream || request.last_event.is_none() {
+        if request.route.kind != RouteKind::Stream {
             return Ok(());
         }
         let account = request.account.as_deref();
+        if request.last_event.is_none() {
+            let stream = StreamKey::new(account, &request.id);
+            let (wall_ms, service) = (self.state.wall_ms(), &*self.placement.service);
+            self.placement.version = self.state.origins().strict_version(wall_ms, service, stream);
+            return Ok(());
+        }
         let stream = request.resumes.as_deref().map(|attempt| StreamKey::new(account, attempt));
         let services = request.route.services.iter().map(|(service, _)| service.clone());
-        let question = OriginQuestion { stream, services: services.collect() };
+        let patience_ms = request.patience.as_millis() as u64;
+        let waits_until_ms = request.states_patience.then(|| self.state.wall_ms() + patience_ms);
+        let question = OriginQuestion { stream, services: services.collect(), waits_until_ms };
         let asked_at = clock::now();
         let answer = loop {
             let answer = self.state.find_origin(&question, MAX_HOPS).await;
-            let waits = answer.evidence == OriginEvidence::Incomplete;
-            if !waits || clock::now().since(asked_at) >= MAX_WAIT {
+            let wait = match answer.evidence {
+                OriginEvidence::Incomplete => MAX_WAIT,
+                // An entry that lives may have begun the stream just now.
+                OriginEvidence::Derived => self.state.report_time(),
+                _ => break answer,
+            };
+            if clock::now().since(asked_at) >= wait {
                 break answer;
             }
             sleep(ASK_AGAIN_PERIOD).await;
@@ -172,6 +228,10 @@
         let until_ms =
             self.state.wall_ms() + StreamOrigins::waiting_time(request.patience).as_millis() as u64;
         let is_split = request.route.services.len() > 1;
+        if request.last_event.is_none() {
+            let (service, software) = (&self.placement.service, &work.instance.software);
+            self.state.origins().note_patience(service, software, request.patience);
+        }
         // A caller may also name the attempt with which it took the stream up before.
         let begun = request.resumes.as_deref().filter(|_| request.last_event.is_some());
         for attempt in [Some(&*request.id), begun].into_iter().flatten() {
@@ -298,7 +358,9 @@
     async fn write(&mut self) -> Result<(), StoreError> {
         let state = &self.state;
         let era = state.view().era;
-        let records = state.origins().pending(state.wall_ms(), &state.process.to_string());
+        let input = state.marker_input(era);
+        let writer = state.process.to_string();
+        let records = state.origins().pending(state.wall_ms(), &writer, &input);
         if records.is_empty() {
             return Ok(());
         }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -16,7 +16,7 @@
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
     send_limit::{LimitAnswer, LimitReport},
-    stream_origin::{OriginAnswer, OriginDelta, OriginQuestion, VersionNews},
+    stream_origin::{OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, VersionNews},
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
 };
 use serde::{Deserialize, Serialize};
@@ -41,7 +41,7 @@
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
 /// Maximum time for one exchange with a peer, including the time to connect.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum time for one question for the version of a stream, including the time to connect.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(200);
@@ -120,6 +120,8 @@
     pub(crate) origins: OriginDelta,
     /// Software versions that the receiver may not know.
     pub(crate) versions: VersionNews,
+    /// Time of the newest marker of stream origins that the sender knows, 0 for none.
+    pub(crate) marker_ms: u64,
 }
 
 /// The load of an entry and of the entries that report to it, for its hub.
@@ -179,6 +181,10 @@
     pub(crate) origins: LedgerPosition,
     /// Software versions that the reporting entry may not know.
     pub(crate) versions: VersionNews,
+    /// A later marker of stream origins than the reporting entry knows.
+    pub(crate) marker: Option<OriginMarker>,
+    /// Whether the answering entry knows the marker that the fleet knows.
+    pub(crate) knows_marker: bool,
     /// Whether the reporting entry, after `suspects` and `part_suspects`, knows all suspects that the store has.
     pub(crate) knows_suspects: bool,
 }
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -279,9 +279,10 @@
         let now = clock::now();
         let suspects = self.suspects().changes_since(now, known.requests.by_peer);
         let part_suspects = self.part_suspects().changes_since(now, known.parts.by_peer);
-        let (origins, versions) = {
+        let (origins, versions, marker_ms) = {
             let own = self.origins();
-            (own.shared_since(known.origins.by_peer), own.version_news(known.versions))
+            let records = own.shared_since(known.origins.by_peer);
+            (records, own.version_news(known.versions), own.marker_ms())
         };
         let view = self.view();
         EntryReport {
@@ -304,6 +305,7 @@
             part_suspects_seen: known.parts.of_peer,
             origins,
             versions,
+            marker_ms,
             // The empty domain stands for no domain: the list has at most three entries of each.
             entries: if wants_entries { view.roster.listed_to(now, "") } else { Vec::new() },
         }
@@ -328,11 +330,13 @@
             (ledger.changes_since(now, report.part_suspects_seen), ledger.position())
         };
         self.note_era(report.era, "peer");
-        let (origins, versions) = {
+        let (origins, versions, marker, knows_marker) = {
             let mut known = self.origins();
             known.merge_versions(&report.versions);
             known.merge(now, &report.origins);
-            (known.position(), known.version_news(report.versions.digest))
+            let versions = known.version_news(report.versions.digest);
+            let marker = known.marker_news(report.marker_ms);
+            (known.position(), versions, marker, known.knows_marker())
         };
         let limits = self.answer_limits(&report);
         let mut view = self.view();
@@ -372,6 +376,8 @@
             part_suspects,
             origins,
             versions,
+            marker,
+            knows_marker,
             entries: if report.wants_entries {
                 view.roster.listed_to(now, &report.domain)
             } else {
@@ -417,7 +423,14 @@
             }
         }
         self.apply_limits(from, sent_at, &update.limits, from_hub);
-        self.origins().merge_versions(&update.versions);
+        {
+            let mut origins = self.origins();
+            origins.merge_versions(&update.versions);
+            origins.merge_marker(update.marker);
+            if update.knows_marker {
+                origins.note_marker_known();
+            }
+        }
         if from_hub {
             self.view().load_aggregator.take_from_hub(now, update.load);
             self.table().take_strict_counts(now, &update.strict_counts);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -248,11 +248,16 @@
         self.set_clock_skew(skew_ms);
     }
 
+    /// Reports whether this entry knows what the fleet knows of suspects and of streams.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        self.view().knows_suspects && self.origins().knows_marker()
+    }
+
     /// Reports whether this host should receive new connections: it has a configuration and
     /// endpoints, knows the suspects and the limits of endpoints, and is not draining.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.routes.load().is_some() && !self.directory().is_empty();
-        let knows_others = self.view().knows_suspects && self.table().limits().knows();
+        let knows_others = self.knows_fleet() && self.table().limits().knows();
         known && knows_others && !self.draining.load(Ordering::Relaxed)
     }
 
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -40,7 +40,8 @@
     pub parts: Vec<PromptPart>,
     /// Whether the caller holds a part of the answer already.
     pub continues: bool,
-    /// Version that must run the request, because it began the answer; `None` if any version may.
+    /// Version that must run the request, because it began the answer or follows from the request's
+    /// identifier; `None` if any version may.
     pub version: Option<VersionKey>,
 }
 
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -196,7 +196,7 @@
             .map(|key| (*key, &self.endpoints[*key]))
             .filter(|(_, state)| may_run(state))
             .collect();
-        if open.is_empty() && request.version.is_some() {
+        if open.is_empty() && request.version.is_some() && request.continues {
             return Err(DecisionReason::VersionGone);
         }
         open.retain(|(key, _)| !excluded.contains(key));
--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -53,20 +53,24 @@
 mod origin_archive;
 mod origin_batch;
 mod origin_ledger;
+mod origin_marker;
 mod origin_record;
 mod stream_key;
 mod stream_origins;
 mod version_history;
 mod version_key;
+mod version_share;
 
 pub use self::{
     origin_answer::{OriginAnswer, OriginEvidence, OriginQuestion},
     origin_archive::{ArchiveRecord, OriginArchive},
     origin_batch::BatchError,
     origin_ledger::{MAX_ORIGINS, OriginDelta, OriginLedger},
+    origin_marker::{MarkerInput, OriginGap, OriginMarker},
     origin_record::OriginRecord,
     stream_key::StreamKey,
     stream_origins::{MAX_SOLE_AGE, StreamOrigins},
     version_history::{STREAM_LIFE, ServedVersion, VersionHistory, VersionNews},
     version_key::VersionKey,
+    version_share::VersionShare,
 };
--- a/crates/kernel/src/stream_origin/origin_answer.rs
+++ b/crates/kernel/src/stream_origin/origin_answer.rs
@@ -13,6 +13,9 @@
     pub stream: Option<StreamKey>,
     /// Services that run requests of the stream's route.
     pub services: Vec<Box<str>>,
+    /// Wall-clock time in milliseconds until which the caller waits, over all its tries; `None` if it
+    /// does not say.
+    pub waits_until_ms: Option<u64>,
 }
 
 /// How an entry knows the version that began a stream, or why it does not.
@@ -26,6 +29,8 @@
     Store,
     /// No other version of the service has served while the stream may have begun.
     Sole,
+    /// The stream began while the store was away, when versions followed from identifiers.
+    Derived,
     /// Entries noted different versions.
     Conflict,
     /// There is no record, and several versions may have begun it.
@@ -42,6 +47,7 @@
             OriginEvidence::Peer => "peer",
             OriginEvidence::Store => "store",
             OriginEvidence::Sole => "sole",
+            OriginEvidence::Derived => "derived",
             OriginEvidence::Conflict => "conflict",
             OriginEvidence::Unknown => "unknown",
             OriginEvidence::Incomplete => "incomplete",
@@ -70,7 +76,10 @@
     pub fn is_recorded(&self) -> bool {
         !matches!(
             self.evidence,
-            OriginEvidence::Sole | OriginEvidence::Unknown | OriginEvidence::Incomplete
+            OriginEvidence::Sole
+                | OriginEvidence::Derived
+                | OriginEvidence::Unknown
+                | OriginEvidence::Incomplete
         )
     }
 
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     stream_origin::{
-        BatchError, OriginLedger, OriginRecord, ServedVersion, VersionHistory, VersionKey,
-        origin_batch,
+        BatchError, MarkerInput, OriginLedger, OriginMarker, OriginRecord, ServedVersion,
+        VersionHistory, VersionKey, origin_batch,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -17,6 +17,12 @@
 /// Beginning of the keys of versions.
 const VERSION_KEY: &str = "version.";
 
+/// Key of the newest marker.
+const MARKER_KEY: &str = "marker";
+
+/// Time between two markers if there is nothing else to write, in milliseconds.
+const MARKER_PERIOD_MS: u64 = 400;
+
 /// Maximum number of expired records that one write removes.
 const MAX_REMOVED: usize = 64;
 
@@ -36,6 +42,8 @@
     Streams(Vec<OriginRecord>),
     /// A version that serves or has served.
     Version(ServedVersion),
+    /// The newest word of a root hub.
+    Marker(OriginMarker),
     /// Nothing; the record was removed, or is of a later version of this program.
     Nothing,
 }
@@ -46,7 +54,8 @@
     position: LedgerPosition,
     batches: BTreeMap<Box<str>, u64>,
     removed: Vec<Box<str>>,
-    versions: BTreeMap<VersionKey, u64>,
+    versions: BTreeMap<VersionKey, (u64, u64)>,
+    marker: Option<OriginMarker>,
 }
 
 /// Tracks, for the entry that writes on behalf of all, what the store has.
@@ -59,8 +68,10 @@
     written: LedgerPosition,
     /// Wall-clock time in milliseconds at which the last record of each batch expires.
     batches: BTreeMap<Box<str>, u64>,
-    /// End of each version as the store has it.
-    versions: BTreeMap<VersionKey, u64>,
+    /// End and longest patience of each version as the store has them.
+    versions: BTreeMap<VersionKey, (u64, u64)>,
+    /// The newest marker that the store has.
+    marker: Option<OriginMarker>,
     /// Number of batches that this entry wrote.
     writes: u64,
     pending: PendingWrite,
@@ -101,9 +112,14 @@
         if key.starts_with(VERSION_KEY) {
             let served: ServedVersion = serde_json::from_slice(value).map_err(|_| BatchError)?;
             let version = VersionKey::new(&served.service, &served.software);
-            self.versions.insert(version, served.until_ms);
+            self.versions.insert(version, (served.until_ms, served.patience_ms));
             return Ok(ArchivedNews::Version(served));
         }
+        if key == MARKER_KEY {
+            let marker: OriginMarker = serde_json::from_slice(value).map_err(|_| BatchError)?;
+            self.marker = Some(marker.clone());
+            return Ok(ArchivedNews::Marker(marker));
+        }
         Ok(ArchivedNews::Nothing)
     }
 
@@ -115,12 +131,14 @@
         writer: &str,
         ledger: &OriginLedger,
         history: &VersionHistory,
+        input: &MarkerInput,
     ) -> Vec<ArchiveRecord> {
         let mut pending = PendingWrite { position: self.written, ..PendingWrite::default() };
         let mut records = Vec::new();
         for (key, served) in history.rows() {
-            if self.versions.get(&key).is_none_or(|until_ms| *until_ms < served.until_ms) {
-                pending.versions.insert(key, served.until_ms);
+            let end = (served.until_ms, served.patience_ms);
+            if self.versions.get(&key) != Some(&end) {
+                pending.versions.insert(key, end);
                 let value = serde_json::json!(served).to_string().into_bytes();
                 let key = format!("{VERSION_KEY}{:016x}", key.0).into();
                 records.push(ArchiveRecord { key, value });
@@ -139,17 +157,32 @@
             pending.removed.push(key.clone());
             records.push(ArchiveRecord { key: key.clone(), value: Vec::new() });
         }
+        let last = self.marker.as_ref();
+        let has_shares =
+            !input.shares.is_empty() || last.is_some_and(|last| !last.shares.is_empty());
+        let is_due = last.is_none_or(|last| wall_ms >= last.written_ms + MARKER_PERIOD_MS);
+        if has_shares && (is_due || !records.is_empty()) {
+            let marker = OriginMarker::after(last, wall_ms, input);
+            let value = serde_json::json!(marker).to_string().into_bytes();
+            records.push(ArchiveRecord { key: MARKER_KEY.into(), value });
+            pending.marker = Some(marker);
+        }
         self.pending = pending;
         records
     }
 
-    /// Notes that the store has the records of the last call of `pending`.
-    pub fn note_written(&mut self) {
+    /// Notes that the store has the records of the last call of `pending`, and returns the marker
+    /// among them.
+    pub(super) fn note_written(&mut self) -> Option<OriginMarker> {
         let pending = std::mem::take(&mut self.pending);
         self.written = pending.position;
         self.batches.retain(|key, _| !pending.removed.contains(key));
         self.batches.extend(pending.batches);
         self.versions.extend(pending.versions);
+        if pending.marker.is_some() {
+            self.marker = pending.marker.clone();
+        }
+        pending.marker
     }
 }
 
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -4,9 +4,10 @@
 
 use crate::{
     stream_origin::{
-        ArchiveRecord, BatchError, OriginAnswer, OriginArchive, OriginDelta, OriginEvidence,
-        OriginLedger, OriginQuestion, OriginRecord, STREAM_LIFE, ServedVersion, StreamKey,
-        VersionHistory, VersionKey, VersionNews, origin_archive::ArchivedNews,
+        ArchiveRecord, BatchError, MarkerInput, OriginAnswer, OriginArchive, OriginDelta,
+        OriginEvidence, OriginLedger, OriginMarker, OriginQuestion, OriginRecord, STREAM_LIFE,
+        ServedVersion, StreamKey, VersionHistory, VersionKey, VersionNews,
+        origin_archive::ArchivedNews,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -31,6 +32,10 @@
     ledger: OriginLedger,
     history: VersionHistory,
     archive: OriginArchive,
+    /// The newest marker that this entry knows.
+    marker: Option<OriginMarker>,
+    /// Whether the marker was read from the store or from another entry that knows it.
+    knows_marker: bool,
     /// Services whose streams are shared with other entries.
     shared_services: BTreeSet<Box<str>>,
     /// Whether the copy of the store is so old that all streams are shared.
@@ -46,6 +51,8 @@
             ledger: OriginLedger::new(incarnation),
             history: VersionHistory::new(),
             archive: OriginArchive::new(),
+            marker: None,
+            knows_marker: false,
             shared_services: BTreeSet::new(),
             is_stale: false,
             tidied_at_ms: 0,
@@ -109,6 +116,51 @@
         self.shared_services = mixed;
     }
 
+    /// Returns the version at which `stream` must begin; `None` if it may begin at any.
+    ///
+    /// While entries do not hear of writes to the store, records may die with them, so versions
+    /// follow from the identifiers of streams.
+    pub fn strict_version(
+        &self,
+        wall_ms: u64,
+        service: &str,
+        stream: StreamKey,
+    ) -> Option<VersionKey> {
+        self.marker.as_ref()?.strict_version(wall_ms, service, stream)
+    }
+
+    /// Returns the time of the newest marker that this entry knows, 0 for none.
+    pub fn marker_ms(&self) -> u64 {
+        self.marker.as_ref().map_or(0, |marker| marker.written_ms)
+    }
+
+    /// Returns the newest marker if it is later than one written at `known_ms`.
+    pub fn marker_news(&self, known_ms: u64) -> Option<OriginMarker> {
+        self.marker.clone().filter(|marker| marker.written_ms > known_ms)
+    }
+
+    /// Reports whether this entry knows the marker that the fleet knows, or that there is none.
+    pub fn knows_marker(&self) -> bool {
+        self.knows_marker
+    }
+
+    /// Notes that the marker is known, or that there is no waiting for it any longer.
+    pub fn note_marker_known(&mut self) {
+        self.knows_marker = true;
+    }
+
+    /// Merges a marker that another entry knows.
+    pub fn merge_marker(&mut self, marker: Option<OriginMarker>) {
+        let known_ms = self.marker_ms();
+        self.marker = marker.filter(|marker| marker.written_ms > known_ms).or(self.marker.take());
+    }
+
+    /// Notes how long a caller of a stream waits, over all its tries, when it first asks.
+    pub fn note_patience(&mut self, service: &str, software: &str, patience: Duration) {
+        let key = VersionKey::new(service, software);
+        self.history.note_patience(key, patience.as_millis() as u64);
+    }
+
     /// Notes that the caller of `stream` gets its first event from the version `software` of
     /// `service`, and that it waits until the wall-clock time `until_ms` at most.
     ///
@@ -154,10 +206,27 @@
                 evidence: OriginEvidence::Sole,
                 age: store_age,
             },
-            None => OriginAnswer::without(OriginEvidence::Unknown, store_age),
+            None => match self.derive(question) {
+                Some(version) => OriginAnswer {
+                    version: Some(version),
+                    evidence: OriginEvidence::Derived,
+                    age: store_age,
+                },
+                None => OriginAnswer::without(OriginEvidence::Unknown, store_age),
+            },
         }
     }
 
+    /// Returns the version that began a stream if its caller first asked in a gap.
+    fn derive(&self, question: &OriginQuestion) -> Option<VersionKey> {
+        let ([service], Some(stream)) = (question.services.as_slice(), question.stream) else {
+            return None;
+        };
+        let patience_ms = self.history.patience_ms(service);
+        let asked_ms = question.waits_until_ms?.checked_sub(patience_ms)?;
+        self.marker.as_ref()?.derived_version(service, stream, asked_ms)
+    }
+
     /// Returns the longest time from now that a caller counts as waiting for a stream.
     pub fn waiting_time(stated: Duration) -> Duration {
         stated.min(STREAM_LIFE)
@@ -213,6 +282,7 @@
                 }
             }
             ArchivedNews::Version(served) => self.history.merge(&served),
+            ArchivedNews::Marker(marker) => self.merge_marker(Some(marker)),
             ArchivedNews::Nothing => {}
         }
         Ok(())
@@ -232,6 +302,7 @@
     /// Notes that everything in the store was read at `now`.
     pub fn note_read(&mut self, now: TimePoint) {
         self.archive.note_read(now);
+        self.knows_marker = true;
         self.update_sharing();
     }
 
@@ -248,12 +319,18 @@
 
     /// Returns the records to write so that the store has all that this entry knows; empty if it
     /// lacks nothing. `writer` is unique for the run of the process.
-    pub fn pending(&mut self, wall_ms: u64, writer: &str) -> Vec<ArchiveRecord> {
-        self.archive.pending(wall_ms, writer, &self.ledger, &self.history)
+    pub fn pending(
+        &mut self,
+        wall_ms: u64,
+        writer: &str,
+        input: &MarkerInput,
+    ) -> Vec<ArchiveRecord> {
+        self.archive.pending(wall_ms, writer, &self.ledger, &self.history, input)
     }
 
     /// Notes that the store has the records of the last call of [`pending`](StreamOrigins::pending).
     pub fn note_written(&mut self) {
-        self.archive.note_written();
+        let marker = self.archive.note_written();
+        self.merge_marker(marker);
     }
 }
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -4,8 +4,8 @@
 
 use pimentorock_kernel::{
     stream_origin::{
-        MAX_SOLE_AGE, OriginAnswer, OriginDelta, OriginEvidence, OriginQuestion, StreamKey,
-        VersionKey,
+        MAX_SOLE_AGE, MarkerInput, OriginAnswer, OriginDelta, OriginEvidence, OriginQuestion,
+        StreamKey, VersionKey, VersionShare,
     },
     time::TimePoint,
 };
@@ -35,6 +35,15 @@
 /// Number of versions that serve at most at the same time.
 const MAX_SERVING: usize = 3;
 
+/// Ticks for which most callers wait, over all their tries.
+const PATIENCE_TICKS: u64 = 300;
+
+/// Time by which a marker reaches all entries, in milliseconds.
+const REACH_MS: u64 = 1_100;
+
+/// Ticks by which what an entry knows has reached the root hub.
+const REPORT_TICKS: u64 = 2 * EXCHANGE_TICKS + 2;
+
 /// Tries of a caller to take up its stream.
 const TRIES: u32 = 3;
 
@@ -51,6 +60,9 @@
     /// Tick of the next try, while the stream is broken.
     retry_at: u64,
     tries: u32,
+    /// Tick of the first answer that derived the version, if the last answer did.
+    derived_at: Option<u64>,
+    began_at: u64,
     ends_at: u64,
 }
 
@@ -279,6 +291,9 @@
         self.entries[hub].origins.merge_versions(&news);
         self.entries[hub].origins.merge(now, &delta);
         let news = self.entries[hub].origins.version_news(news.digest);
+        let marker_ms = self.entries[index].origins.marker_ms();
+        let marker = self.entries[hub].origins.marker_news(marker_ms);
+        let knows_marker = self.entries[hub].origins.knows_marker();
         let (listed, current_at) = (self.entries[hub].listed.clone(), self.entries[hub].current_at);
         let era = self.entries[hub].era;
         if self.draw(self.plan.lost_answers) {
@@ -289,6 +304,10 @@
         entry.note_era(era);
         entry.take_list(now, &listed, current_at);
         entry.origins.merge_versions(&news);
+        entry.origins.merge_marker(marker);
+        if knows_marker {
+            entry.origins.note_marker_known();
+        }
     }
 
     /// Lets root hubs read and write the store.
@@ -320,6 +339,7 @@
 
     fn write(&mut self, index: usize) {
         let is_lost = self.draw(self.plan.lost_answers);
+        let present = self.present(index);
         let (now, entry) = (self.now, &mut self.entries[index]);
         entry.note_era(self.store.era);
         if entry.origins.read_at().is_none_or(|at| now.since(at) >= READ_PERIOD) {
@@ -328,18 +348,43 @@
             }
             entry.origins.note_read(now);
         }
-        let records = entry.origins.pending(entry.wall_ms(now), &entry.incarnation.to_string());
+        let mixed = entry.origins.mixed_services();
+        let share = |version: &&str| VersionShare {
+            service: SERVICE.into(),
+            software: (*version).into(),
+            slots: 64,
+        };
+        let shares = entry.listed.iter().filter(|_| !mixed.is_empty()).map(share).collect();
+        let input = MarkerInput {
+            era: entry.era,
+            writer: entry.incarnation,
+            present,
+            reach_ms: REACH_MS,
+            shares,
+        };
+        let writer = entry.incarnation.to_string();
+        let records = entry.origins.pending(entry.wall_ms(now), &writer, &input);
         self.store.append(records);
         if !is_lost {
             entry.origins.note_written();
         }
     }
 
+    /// Returns the number of entries that report to a root hub, with itself.
+    fn present(&self, root: usize) -> u32 {
+        let is_present = |index: &usize| {
+            *index == root
+                || (self.entries[*index].is_alive && !self.is_cut(*index) && !self.is_cut(root))
+        };
+        (0..self.entries.len()).filter(is_present).count() as u32
+    }
+
     /// Returns an entry that serves callers.
     fn serving_entry(&mut self) -> Option<usize> {
         let index = self.below(self.entries.len());
         let entry = &self.entries[index];
-        (entry.is_alive && !entry.listed.is_empty()).then_some(index)
+        (entry.is_alive && !entry.listed.is_empty() && entry.origins.knows_marker())
+            .then_some(index)
     }
 
     fn begin_streams(&mut self) {
@@ -351,13 +396,34 @@
             if choices.is_empty() {
                 continue;
             }
-            let version = choices[self.below(choices.len())];
             let key = StreamKey(self.random.random());
-            let ends_at = self.tick + 100 + self.below(500) as u64;
+            let entry = &mut self.entries[index];
+            let strict = entry.origins.strict_version(entry.wall_ms(self.now), SERVICE, key);
+            let version = match strict {
+                None => Some(choices[self.below(choices.len())]),
+                Some(strict) => {
+                    let is_strict = |version: &&&str| VersionKey::new(SERVICE, version) == strict;
+                    choices.iter().find(is_strict).copied()
+                }
+            };
+            let Some(version) = version else { continue };
+            // Most callers wait as long, some less.
+            let waited = if self.draw(800) { PATIENCE_TICKS } else { PATIENCE_TICKS / 2 };
+            let ends_at = self.tick + waited;
+            let patience = TICK * waited as u32;
+            self.entries[index].origins.note_patience(SERVICE, version, patience);
             self.note_begun(index, key, version, ends_at);
             let at = Some((index, self.entries[index].incarnation));
-            let (retry_at, tries) = (0, 0);
-            self.streams.push(SimulatedStream { key, version, at, retry_at, tries, ends_at });
+            self.streams.push(SimulatedStream {
+                key,
+                version,
+                at,
+                retry_at: 0,
+                tries: 0,
+                derived_at: None,
+                began_at: self.tick,
+                ends_at,
+            });
         }
     }
 
@@ -387,8 +453,22 @@
     fn take_up(&mut self, stream: &mut SimulatedStream) {
         stream.retry_at = self.tick + RETRY_TICKS;
         let Some(index) = self.serving_entry() else { return };
-        let question = OriginQuestion { stream: Some(stream.key), services: vec![SERVICE.into()] };
+        let left_ms = (stream.ends_at - self.tick) * TICK.as_millis() as u64;
+        let question = OriginQuestion {
+            stream: Some(stream.key),
+            services: vec![SERVICE.into()],
+            waits_until_ms: Some(self.entries[index].wall_ms(self.now) + left_ms),
+        };
         let answer = self.find(index, &question);
+        if answer.evidence == OriginEvidence::Derived {
+            // An entry that lives may have begun the stream just now.
+            if stream.derived_at.is_none_or(|at| self.tick < at + REPORT_TICKS) {
+                stream.derived_at.get_or_insert(self.tick);
+                stream.retry_at = self.tick + 1;
+                return;
+            }
+        }
+        stream.derived_at = None;
         let listed = &self.entries[index].listed;
         let goes_on =
             listed.iter().find(|version| answer.version == Some(VersionKey::new(SERVICE, version)));
@@ -421,6 +501,10 @@
         let is_new = listed_for.is_some_and(|span| span < MAX_SOLE_AGE);
         // Neither the store nor any entry that the others reach knows that the version has served.
         let is_forgotten = !self.is_known(stream.version);
+        if answer.evidence == OriginEvidence::Derived && self.is_after_gaps(stream) {
+            self.excepted += 1;
+            return;
+        }
         if answer.evidence == OriginEvidence::Sole && (is_new || is_forgotten) {
             self.excepted += 1;
             return;
@@ -431,6 +515,15 @@
         ));
     }
 
+    /// Reports whether a stream began after all gaps that entries know; its record died with its entry.
+    fn is_after_gaps(&self, stream: &SimulatedStream) -> bool {
+        let began_ms =
+            1_700_000_000_000 + (self.now.as_micros() / 1_000 - (self.tick - stream.began_at) * 50);
+        let markers = self.entries.iter().filter_map(|entry| entry.origins.marker_news(0));
+        let mut gaps = markers.flat_map(|marker| marker.gaps);
+        gaps.all(|gap| began_ms > gap.until_ms)
+    }
+
     /// Reports whether the store or an entry knows that a version has served.
     fn is_known(&self, version: &str) -> bool {
         let key = VersionKey::new(SERVICE, version);
