--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -99,7 +99,7 @@
         let shares = slots.into_iter().map(share).collect();
         let reach_ms = reach.as_millis() as u64;
         let writer = self.process.incarnation;
-        MarkerInput { era, writer, present: present as u32, reach_ms, shares }
+        MarkerInput { era, writer, present, reach_ms, shares }
     }
 
     /// Applies a record of the topic of streams' versions.
