Read the marker at the start, and derive by what callers state

The first read is made at once. Only a deadline that the caller states counts as its patience, and entries go by shares 0.25 s sooner.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -30,6 +30,9 @@
 /// Time between two writes to the store.
 const WRITE_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time between two looks whether an entry that starts must read the store.
+const START_PERIOD: Duration = Duration::from_millis(25);
+
 /// Time between two reads of what other entries wrote; shorter than the age up to which the answers of
 /// this entry count as complete.
 const READ_PERIOD: Duration = Duration::from_secs(2);
@@ -86,7 +89,8 @@
         let (present, reach) = {
             let mut view = self.view();
             let others = view.load_aggregator.others(now).entries;
-            (others + 1, view.roster.max_store_age(now))
+            // One marker may be late, and goes down two hubs.
+            (others + 1, 2 * WRITE_PERIOD + 3 * view.roster.period(now))
         };
         let mut slots: BTreeMap<(Box<str>, Box<str>), u32> = BTreeMap::new();
         for entry in self.directory().entries() {
@@ -228,7 +232,7 @@
         let until_ms =
             self.state.wall_ms() + StreamOrigins::waiting_time(request.patience).as_millis() as u64;
         let is_split = request.route.services.len() > 1;
-        if request.last_event.is_none() {
+        if request.last_event.is_none() && request.states_patience {
             let (service, software) = (&self.placement.service, &work.instance.software);
             self.state.origins().note_patience(service, software, request.patience);
         }
@@ -269,14 +273,15 @@
 pub(crate) async fn publish_origins(state: Arc<GatewayState>, stop: CancellationToken) {
     let mut publisher = OriginPublisher { state: Arc::clone(&state), next: None };
     let mut turn = ReadTurn::new();
-    let mut pause = WRITE_PERIOD;
+    // An entry that starts serves callers once it has read the marker.
+    let mut pause = Duration::ZERO;
     let mut stopping = false;
     while !stopping {
         tokio::select! {
             () = stop.cancelled() => stopping = true,
             () = sleep(pause) => {}
         }
-        pause = WRITE_PERIOD;
+        pause = if state.origins().knows_marker() { WRITE_PERIOD } else { START_PERIOD };
         let now = clock::now();
         let role = state.view().role(now);
         if !state.view().serves_others(now) {
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -106,7 +106,8 @@
     fn gap_until(&self, wall_ms: u64, era: u64) -> Option<OriginGap> {
         let from_ms = self.written_ms + self.strict_ms + CLOCK_MARGIN_MS;
         let settled_ms = self.written_ms.saturating_sub(self.shares_since_ms);
-        let is_settled = settled_ms >= self.strict_ms + CLOCK_MARGIN_MS;
+        // An entry that reports has heard of the shares by then.
+        let is_settled = settled_ms >= 2 * self.strict_ms;
         // A store that came back from an older copy has lost markers.
         let is_known = self.is_complete && is_settled && self.era == era;
         (is_known && !self.shares.is_empty() && wall_ms > from_ms).then(|| OriginGap {
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -39,7 +39,7 @@
 const PATIENCE_TICKS: u64 = 300;
 
 /// Time by which a marker reaches all entries, in milliseconds.
-const REACH_MS: u64 = 1_100;
+const REACH_MS: u64 = 850;
 
 /// Ticks by which what an entry knows has reached the root hub.
 const REPORT_TICKS: u64 = 2 * EXCHANGE_TICKS + 2;
