Read the records of other root hubs twice a second; cut long stream names in the log

Root hubs read what others wrote each 0.5 s. The time until the hub is asked again is not changed, so the window is shorter, not gone.

A caller's name for a stream may have thousands of bytes; log lines have 64 of them.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -14,6 +14,9 @@
 /// Maximum number of prompt parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 24;
 
+/// Maximum number of bytes of a stream's name in a log line.
+const MAX_LOGGED_NAME: usize = 64;
+
 /// A caller's request with its complete body.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -112,10 +115,12 @@
     }
 
     /// Returns the attempt that began the stream which the caller takes up again, for log lines;
-    /// empty for a stream that begins, and `unnamed` if the caller names no attempt.
+    /// empty for a stream that begins, and `unnamed` if the caller names no attempt. Long names are cut
+    /// at [`MAX_LOGGED_NAME`].
     pub(crate) fn logged_stream(&self) -> &str {
         let unnamed = if self.last_event.is_some() { "unnamed" } else { "" };
-        self.resumes.as_deref().unwrap_or(unnamed)
+        let name = self.resumes.as_deref().unwrap_or(unnamed);
+        name.get(..MAX_LOGGED_NAME).unwrap_or(name)
     }
 
     /// Returns the time left until the deadline.
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -35,7 +35,7 @@
 
 /// Time between two reads of what other entries wrote; shorter than the age up to which the answers of
 /// this entry count as complete.
-const READ_PERIOD: Duration = Duration::from_secs(2);
+const READ_PERIOD: Duration = Duration::from_millis(500);
 
 /// Maximum time for which an entry that has a configuration waits for the marker of stream origins
 /// before it serves requests without it.
