--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -129,3 +129,21 @@
         check_share(&format!("seed {seed}"), &fleet, 0.5);
     }
 }
+
+/// No entry may say that one version only has served, as its copy of the store is old.
+#[test]
+fn take_ups_go_on_by_records_while_the_store_is_away_and_one_version_serves() {
+    for seed in 0..5 {
+        let plan = OriginPlan { ticks: 400, streams: 4_000, ..OriginPlan::calm(12) };
+        let mut fleet = OriginFleet::new(plan, seed);
+        for tick in 0..plan.ticks {
+            match tick {
+                40 => fleet.lose_store(350),
+                200 => fleet.kill(10, |index| index % 3 == 1),
+                _ => {}
+            }
+            fleet.play_tick();
+        }
+        check_share(&format!("seed {seed}"), &fleet, 0.8);
+    }
+}
