--- a/crates/daemon/tests/stream_versions.rs
+++ b/crates/daemon/tests/stream_versions.rs
@@ -86,6 +86,19 @@
     check(&fleet.take_up(streams, &[0, 1], 3).await, STREAMS / 2);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_begun_as_the_store_went_away_go_on_after_a_kill_of_all_entries() {
+    let mut fleet = VersionFleet::start(DAEMON, 4, &["a", "a", "b", "b"]).await;
+    tokio::time::sleep(UNDER_WAY).await;
+    fleet.platform.set_refusing(true);
+    let streams = fleet.begin_streams(&[0, 1, 2, 3], STREAMS);
+    tokio::time::sleep(UNDER_WAY).await;
+    fleet.kill(&[0, 1, 2, 3]).await;
+    fleet.platform.set_refusing(false);
+    fleet.wait_serving().await;
+    check(&fleet.take_up(streams, &[3, 2, 1, 0], 3).await, STREAMS / 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_begun_before_the_second_version_came_go_on_at_the_first() {
     let mut fleet = VersionFleet::start(DAEMON, 4, &["a", "a"]).await;
--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -130,6 +130,35 @@
     }
 }
 
+#[test]
+fn take_ups_go_on_whenever_all_entries_are_killed_while_the_store_is_away() {
+    for killed_after in [4, 12, 24, 60] {
+        for seed in 0..4 {
+            let plan = OriginPlan { ticks: 500, streams: 4_000, ..OriginPlan::calm(12) };
+            let mut fleet = OriginFleet::new(plan, seed);
+            let mut before = fleet.take_ups;
+            for tick in 0..plan.ticks {
+                match tick {
+                    40 => fleet.toggle("b"),
+                    200 => {
+                        fleet.end_streams();
+                        fleet.lose_store(100);
+                    }
+                    _ if tick == 200 + killed_after => {
+                        before = fleet.take_ups;
+                        fleet.kill(20, |_| true);
+                    }
+                    _ => {}
+                }
+                fleet.play_tick();
+            }
+            fleet.take_ups.went_on -= before.went_on;
+            fleet.take_ups.given_up -= before.given_up;
+            check_share(&format!("killed after {killed_after}, seed {seed}"), &fleet, 0.8);
+        }
+    }
+}
+
 /// No entry may say that one version only has served, as its copy of the store is old.
 #[test]
 fn take_ups_go_on_by_records_while_the_store_is_away_and_one_version_serves() {
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -165,6 +165,11 @@
         self.away_until = self.tick + ticks;
     }
 
+    /// Ends all streams.
+    pub fn end_streams(&mut self) {
+        self.streams.clear();
+    }
+
     fn draw(&mut self, per_mille: u64) -> bool {
         self.random.random_range(0..1_000) < per_mille
     }
