Begin each stream at the version that follows from its identifier

Cause: versions followed from identifiers only once an entry had heard of no write for 0.85 s, and the next root hub derived them only for streams of which it could show that all entries did so.

Change: streams that callers may take up always begin at the version that follows from their identifier. The marker in the store holds the spans of the shares instead of the gaps, entries follow a span only once the store has it, and a span ends once each entry that reported lately knows a later one. Homes of prompt parts are looked for among the endpoints of the version. A take-up is derived only if an entry may have died with its record, so a stream that nobody began stays unknown.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -7,8 +7,8 @@
     hub::{HubChoice, ReadTurn},
     reason::DecisionReason,
     stream_origin::{
-        ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginQuestion, StreamKey,
-        StreamOrigins, VersionKey, VersionShare,
+        ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginMarker, OriginQuestion,
+        StreamKey, StreamOrigins, VersionKey, VersionShare,
     },
 };
 use tokio::time::sleep;
@@ -20,7 +20,6 @@
     dispatcher::RequestDispatcher,
     fleet_config::RouteKind,
     logs::part,
-    peer::PEER_TIMEOUT,
     shared_view::EraChange,
     state::GatewayState,
     store::{NewRecord, StoreError, StoreRecord, StoreTopic},
@@ -37,6 +36,9 @@
 /// this entry count as complete.
 const READ_PERIOD: Duration = Duration::from_millis(500);
 
+/// Age of the list of endpoints up to which it tells the shares by which streams begin.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1_500);
+
 /// Maximum time for which an entry that has a configuration waits for the marker of stream origins
 /// before it serves requests without it.
 const MAX_MARKER_DELAY: Duration = Duration::from_secs(2);
@@ -77,33 +79,20 @@
         self.metrics.note_origins(origins.len(), origins.mixed_services().len());
     }
 
-    /// Returns the time by which what an entry knows has reached the root hub.
-    fn report_time(&self) -> Duration {
-        2 * self.view().roster.period(clock::now()) + PEER_TIMEOUT / 2
-    }
-
-    /// Returns what the next marker says of the fleet.
+    /// Returns what the next marker says of the fleet; no shares if the list of endpoints may be old.
     fn marker_input(&self, era: u64) -> MarkerInput {
-        let now = clock::now();
-        let mixed = self.origins().mixed_services();
-        let (present, reach) = {
-            let mut view = self.view();
-            let others = view.load_aggregator.others(now).entries;
-            // One marker may be late, and goes down two hubs.
-            (others + 1, 2 * WRITE_PERIOD + 3 * view.roster.period(now))
-        };
-        let mut slots: BTreeMap<(Box<str>, Box<str>), u32> = BTreeMap::new();
-        for entry in self.directory().entries() {
-            if !entry.leaving && mixed.contains(&entry.service) {
-                let version = (entry.service.clone(), entry.software.clone());
-                *slots.entry(version).or_default() += entry.slots;
+        let mut slots: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>> = BTreeMap::new();
+        if self.store_age() <= MAX_LIST_AGE {
+            for entry in self.directory().entries().filter(|entry| !entry.leaving) {
+                let of_service = slots.entry(entry.service.clone()).or_default();
+                *of_service.entry(entry.software.clone()).or_default() += entry.slots;
             }
         }
-        let share = |((service, software), slots)| VersionShare { service, software, slots };
-        let shares = slots.into_iter().map(share).collect();
-        let reach_ms = reach.as_millis() as u64;
-        let writer = self.process.incarnation;
-        MarkerInput { era, writer, present, reach_ms, shares }
+        let share = |(software, slots)| VersionShare { software, slots };
+        let shares = slots
+            .into_iter()
+            .map(|(service, versions)| (service, versions.into_iter().map(share).collect()));
+        MarkerInput { era, shares: shares.collect() }
     }
 
     /// Applies a record of the topic of streams' versions.
@@ -161,26 +150,25 @@
         }
         let account = request.account.as_deref();
         if request.last_event.is_none() {
-            let stream = StreamKey::new(account, &request.id);
-            let (wall_ms, service) = (self.state.wall_ms(), &*self.placement.service);
-            self.placement.version = self.state.origins().strict_version(wall_ms, service, stream);
+            if request.route.resumable {
+                let stream = StreamKey::new(account, &request.id);
+                let service = &*self.placement.service;
+                self.placement.version = self.state.origins().begin_version(service, stream);
+            }
             return Ok(());
         }
         let stream = request.resumes.as_deref().map(|attempt| StreamKey::new(account, attempt));
         let services = request.route.services.iter().map(|(service, _)| service.clone());
         let patience_ms = request.patience.as_millis() as u64;
         let waits_until_ms = request.states_patience.then(|| self.state.wall_ms() + patience_ms);
-        let question = OriginQuestion { stream, services: services.collect(), waits_until_ms };
+        let timeout_ms = request.route.timeout.as_millis() as u64;
+        let question =
+            OriginQuestion { stream, services: services.collect(), waits_until_ms, timeout_ms };
         let asked_at = clock::now();
         let answer = loop {
             let answer = self.state.find_origin(&question, MAX_HOPS).await;
-            let wait = match answer.evidence {
-                OriginEvidence::Incomplete => MAX_WAIT,
-                // An entry that lives may have begun the stream just now.
-                OriginEvidence::Derived => self.state.report_time(),
-                _ => break answer,
-            };
-            if clock::now().since(asked_at) >= wait {
+            let waited = clock::now().since(asked_at);
+            if answer.evidence != OriginEvidence::Incomplete || waited >= MAX_WAIT {
                 break answer;
             }
             sleep(ASK_AGAIN_PERIOD).await;
@@ -365,7 +353,7 @@
         let era = state.view().era;
         let input = state.marker_input(era);
         let writer = state.process.to_string();
-        let records = state.origins().pending(state.wall_ms(), &writer, &input);
+        let records = state.origins().pending(clock::now(), state.wall_ms(), &writer, &input);
         if records.is_empty() {
             return Ok(());
         }
@@ -377,8 +365,25 @@
         let position = sent?;
         // A store that came back from an older copy meanwhile is written anew.
         if state.note_era(position.era, "store") == EraChange::Same && position.era == era {
-            state.origins().note_written();
+            let written = state.origins().note_written();
+            written.iter().for_each(note_shares);
         }
         Ok(())
     }
 }
+
+/// Logs by which shares streams begin, and since when no stream may have begun by others.
+fn note_shares(marker: &OriginMarker) {
+    for service in marker.services() {
+        let spans: Vec<_> = marker.spans.iter().filter(|span| span.service == service).collect();
+        let open = spans.iter().filter(|span| span.until_ms.is_none()).count();
+        let shares = spans.last().map(|span| span.shares.as_slice()).unwrap_or_default();
+        let shares = shares.iter().map(|share| format!("{}:{}", share.software, share.slots));
+        log::info!(
+            target: part::FOLLOW,
+            service = &*service, spans = spans.len(), open = open, entries = marker.entries.len(),
+            era = marker.era, shares = shares.collect::<Vec<_>>().join(",");
+            "stream shares written"
+        );
+    }
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -16,7 +16,9 @@
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
     send_limit::{LimitAnswer, LimitReport},
-    stream_origin::{OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, VersionNews},
+    stream_origin::{
+        OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, SpanAck, VersionNews,
+    },
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
 };
 use serde::{Deserialize, Serialize};
@@ -120,7 +122,7 @@
     pub(crate) origins: OriginDelta,
     /// Software versions that the receiver may not know.
     pub(crate) versions: VersionNews,
-    /// Time of the newest marker of stream origins that the sender knows, 0 for none.
+    /// Time at which the marker of stream origins that the sender knows was written, 0 for none.
     pub(crate) marker_ms: u64,
 }
 
@@ -131,6 +133,8 @@
     pub(crate) load: GroupLoad,
     /// Limits that endpoints name, and the group's tickets; `None` if none is known.
     pub(crate) limits: Option<LimitReport>,
+    /// What the group knows of the shares by which streams begin.
+    pub(crate) spans: SpanAck,
     /// Whether the sender knows the limits that the fleet knows.
     pub(crate) knows_limits: bool,
     /// Number of entries of the group, the sender included, that reported just now.
@@ -185,6 +189,9 @@
     pub(crate) marker: Option<OriginMarker>,
     /// Whether the answering entry knows the marker that the fleet knows.
     pub(crate) knows_marker: bool,
+    /// Digest of the entries of the reporting entry's group, as the answering entry knows them; 0 if it does
+    /// not.
+    pub(crate) group_entries: u64,
     /// Whether the reporting entry, after `suspects` and `part_suspects`, knows all suspects that the store has.
     pub(crate) knows_suspects: bool,
 }
@@ -220,6 +227,8 @@
     pub(crate) origins: KnownChanges,
     /// Digest of the software versions that the peer knows.
     pub(crate) versions: u64,
+    /// Digest of the entries of this entry's group that the peer knows, 0 for none.
+    pub(crate) entries: u64,
 }
 
 /// Calls between entries.
@@ -309,6 +318,7 @@
                 known.parts = known.parts.after_answer(sent.1, update.part_suspects.position);
                 known.origins = known.origins.after_answer(sent_origins, update.origins);
                 known.versions = update.versions.digest;
+                known.entries = update.group_entries;
                 if self.lost.contains(&address) {
                     self.lost.retain(|lost| *lost != address);
                     log::info!(target: part::PEER, peer = address.to_string(); "peer is back");
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -250,17 +250,19 @@
         let own = self.table().own_load();
         let load = self.view().load_aggregator.group(clock::now(), &own);
         EntryReport {
-            group: Some(self.group_report(load)),
+            group: Some(self.group_report(load, known.entries)),
             ..self.announcement(shares, wants_entries, known)
         }
     }
 
-    fn group_report(&self, load: GroupLoad) -> GroupReport {
+    fn group_report(&self, load: GroupLoad, known_entries: u64) -> GroupReport {
         let now = clock::now();
+        let spans = self.origins().ack(now, known_entries);
         let mut table = self.table();
         let limits = table.limits();
         GroupReport {
             load,
+            spans,
             limits: limits.report(now),
             knows_limits: limits.knows(),
             present: limits.group_entries(now),
@@ -330,13 +332,16 @@
             (ledger.changes_since(now, report.part_suspects_seen), ledger.position())
         };
         self.note_era(report.era, "peer");
-        let (origins, versions, marker, knows_marker) = {
+        let (origins, versions, marker, knows_marker, group_entries) = {
             let mut known = self.origins();
             known.merge_versions(&report.versions);
             known.merge(now, &report.origins);
+            let spans = report.group.as_ref().map(|group| group.spans.clone());
+            let entries = spans.map(|ack| known.note_ack(now, &report.process.name, ack));
             let versions = known.version_news(report.versions.digest);
             let marker = known.marker_news(report.marker_ms);
-            (known.position(), versions, marker, known.knows_marker())
+            let entries = entries.unwrap_or(0);
+            (known.position(), versions, marker, known.knows_marker(), entries)
         };
         let limits = self.answer_limits(&report);
         let mut view = self.view();
@@ -378,6 +383,7 @@
             versions,
             marker,
             knows_marker,
+            group_entries,
             entries: if report.wants_entries {
                 view.roster.listed_to(now, &report.domain)
             } else {
@@ -426,7 +432,7 @@
         {
             let mut origins = self.origins();
             origins.merge_versions(&update.versions);
-            origins.merge_marker(update.marker);
+            origins.merge_marker(update.marker.as_ref());
             if update.knows_marker {
                 origins.note_marker_known();
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -120,7 +120,7 @@
             part_suspects: Mutex::new(PartLedger::new(process.incarnation)),
             part_archive: Mutex::new(PartArchive::new()),
             crash_checks: CrashChecks::default(),
-            origins: Mutex::new(StreamOrigins::new(process.incarnation)),
+            origins: Mutex::new(StreamOrigins::new(&process.name, process.incarnation)),
             origin_clients: OriginClients::default(),
             process,
             codec,
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -463,14 +463,15 @@
     /// Returns the homes of a request's last shared part, which are the endpoints that should have
     /// the part cached.
     ///
-    /// The homes are the two endpoints with the highest rendezvous hash of part and endpoint name,
-    /// so all entries agree on them without communication.
+    /// The homes are the two endpoints, of the version that must run the request, with the highest
+    /// rendezvous hash of part and endpoint name, so all entries agree on them without communication.
     fn homes(&self, request: &PlacedRequest, pool: &[EndpointKey]) -> PartHomes {
         let mut homes = PartHomes::default();
         let Some(part) = request.affinity_part() else { return homes };
         for key in pool {
             let state = &self.endpoints[*key];
-            if state.strict == request.strict {
+            let may_run = request.version.is_none_or(|version| state.version == version);
+            if may_run && state.strict == request.strict {
                 homes.offer(mix(part.id, state.hash), *key);
             }
         }
--- a/crates/kernel/src/stream_origin/origin_answer.rs
+++ b/crates/kernel/src/stream_origin/origin_answer.rs
@@ -16,6 +16,8 @@
     /// Wall-clock time in milliseconds until which the caller waits, over all its tries; `None` if it
     /// does not say.
     pub waits_until_ms: Option<u64>,
+    /// Longest time in milliseconds for which the route keeps a request; callers wait as long or longer.
+    pub timeout_ms: u64,
 }
 
 /// How an entry knows the version that began a stream, or why it does not.
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     stream_origin::{
-        BatchError, MarkerInput, OriginLedger, OriginMarker, OriginRecord, ServedVersion,
-        VersionHistory, VersionKey, origin_batch,
+        BatchError, OriginLedger, OriginMarker, OriginRecord, ServedVersion, VersionHistory,
+        VersionKey, origin_batch,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -17,12 +17,9 @@
 /// Beginning of the keys of versions.
 const VERSION_KEY: &str = "version.";
 
-/// Key of the newest marker.
+/// Key of the marker.
 const MARKER_KEY: &str = "marker";
 
-/// Time between two markers if there is nothing else to write, in milliseconds.
-const MARKER_PERIOD_MS: u64 = 400;
-
 /// Maximum number of expired records that one write removes.
 const MAX_REMOVED: usize = 64;
 
@@ -42,7 +39,7 @@
     Streams(Vec<OriginRecord>),
     /// A version that serves or has served.
     Version(ServedVersion),
-    /// The newest word of a root hub.
+    /// By which shares streams have begun.
     Marker(OriginMarker),
     /// Nothing; the record was removed, or is of a later version of this program.
     Nothing,
@@ -70,7 +67,7 @@
     batches: BTreeMap<Box<str>, u64>,
     /// End and longest patience of each version as the store has them.
     versions: BTreeMap<VersionKey, (u64, u64)>,
-    /// The newest marker that the store has.
+    /// The marker that the store has.
     marker: Option<OriginMarker>,
     /// Number of batches that this entry wrote.
     writes: u64,
@@ -124,14 +121,14 @@
     }
 
     /// Returns the records to write so that the store has all that this entry knows; empty if it
-    /// lacks nothing. `writer` is unique for the run of the process.
+    /// lacks nothing. `writer` is unique for the run of the process; `marker` is what the store should have.
     pub(super) fn pending(
         &mut self,
         wall_ms: u64,
         writer: &str,
         ledger: &OriginLedger,
         history: &VersionHistory,
-        input: &MarkerInput,
+        marker: OriginMarker,
     ) -> Vec<ArchiveRecord> {
         let mut pending = PendingWrite { position: self.written, ..PendingWrite::default() };
         let mut records = Vec::new();
@@ -157,12 +154,12 @@
             pending.removed.push(key.clone());
             records.push(ArchiveRecord { key: key.clone(), value: Vec::new() });
         }
-        let last = self.marker.as_ref();
-        let has_shares =
-            !input.shares.is_empty() || last.is_some_and(|last| !last.shares.is_empty());
-        let is_due = last.is_none_or(|last| wall_ms >= last.written_ms + MARKER_PERIOD_MS);
-        if has_shares && (is_due || !records.is_empty()) {
-            let marker = OriginMarker::after(last, wall_ms, input);
+        let stored_ms = self.marker.as_ref().map_or(0, |stored| stored.written_ms);
+        let written_ms = wall_ms.max(marker.written_ms + 1);
+        // The time alone makes no other marker.
+        let same = OriginMarker { written_ms: stored_ms, ..marker.clone() };
+        if !marker.spans.is_empty() && self.marker.as_ref() != Some(&same) {
+            let marker = OriginMarker { written_ms, ..marker };
             let value = serde_json::json!(marker).to_string().into_bytes();
             records.push(ArchiveRecord { key: MARKER_KEY.into(), value });
             pending.marker = Some(marker);
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -1,12 +1,15 @@
 //! All that one entry knows of the versions that began streams.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     stream_origin::{
-        ArchiveRecord, BatchError, MarkerInput, OriginAnswer, OriginArchive, OriginDelta,
+        ArchiveRecord, BatchError, EntryKey, MarkerInput, OriginAnswer, OriginArchive, OriginDelta,
         OriginEvidence, OriginLedger, OriginMarker, OriginQuestion, OriginRecord, STREAM_LIFE,
-        ServedVersion, StreamKey, VersionHistory, VersionKey, VersionNews,
+        ServedVersion, SpanAck, SpanAcks, StreamKey, VersionHistory, VersionKey, VersionNews,
         origin_archive::ArchivedNews,
     },
     suspect::LedgerPosition,
@@ -16,6 +19,9 @@
 /// Age of an entry's copy of the store up to which the entry says that a service has one version.
 pub const MAX_SOLE_AGE: Duration = Duration::from_secs(3);
 
+/// Time since the last read of the shares by which streams began up to which an entry derives versions.
+pub const MAX_DERIVED_AGE: Duration = Duration::from_secs(1);
+
 /// Age of an entry's copy of the store from which on it shares all streams that it begins. It is
 /// shorter than [`MAX_SOLE_AGE`], so that the records are there when they are needed.
 const SHARING_AGE: Duration = Duration::from_millis(1_500);
@@ -32,8 +38,10 @@
     ledger: OriginLedger,
     history: VersionHistory,
     archive: OriginArchive,
-    /// The newest marker that this entry knows.
-    marker: Option<OriginMarker>,
+    /// What this entry knows of the shares by which streams begin.
+    marker: OriginMarker,
+    /// What the entries that report to this one know of them.
+    acks: SpanAcks,
     /// Whether the marker was read from the store or from another entry that knows it.
     knows_marker: bool,
     /// Services whose streams are shared with other entries.
@@ -45,13 +53,14 @@
 }
 
 impl StreamOrigins {
-    /// Returns what the process run `incarnation` knows at its start.
-    pub fn new(incarnation: u64) -> StreamOrigins {
+    /// Returns what the process run `incarnation` of the entry `name` knows at its start.
+    pub fn new(name: &str, incarnation: u64) -> StreamOrigins {
         StreamOrigins {
             ledger: OriginLedger::new(incarnation),
             history: VersionHistory::new(),
             archive: OriginArchive::new(),
-            marker: None,
+            marker: OriginMarker::default(),
+            acks: SpanAcks::new(EntryKey::new(name), incarnation),
             knows_marker: false,
             shared_services: BTreeSet::new(),
             is_stale: false,
@@ -116,27 +125,38 @@
         self.shared_services = mixed;
     }
 
-    /// Returns the version at which `stream` must begin; `None` if it may begin at any.
-    ///
-    /// While entries do not hear of writes to the store, records may die with them, so versions
-    /// follow from the identifiers of streams.
-    pub fn strict_version(
-        &self,
-        wall_ms: u64,
-        service: &str,
-        stream: StreamKey,
-    ) -> Option<VersionKey> {
-        self.marker.as_ref()?.strict_version(wall_ms, service, stream)
+    /// Returns the version at which `stream` must begin, which follows from its identifier; `None` if it
+    /// may begin at any.
+    pub fn begin_version(&self, service: &str, stream: StreamKey) -> Option<VersionKey> {
+        self.marker.begin_version(service, stream)
     }
 
-    /// Returns the time of the newest marker that this entry knows, 0 for none.
+    /// Returns the time at which the marker that this entry knows was written, 0 for none.
     pub fn marker_ms(&self) -> u64 {
-        self.marker.as_ref().map_or(0, |marker| marker.written_ms)
+        self.marker.written_ms
     }
 
-    /// Returns the newest marker if it is later than one written at `known_ms`.
+    /// Returns the marker if it is later than one written at `known_ms`, without the entries, which only
+    /// those that write to the store need.
     pub fn marker_news(&self, known_ms: u64) -> Option<OriginMarker> {
-        self.marker.clone().filter(|marker| marker.written_ms > known_ms)
+        let is_news = self.marker.written_ms > known_ms;
+        is_news.then(|| OriginMarker { entries: BTreeMap::new(), ..self.marker.clone() })
+    }
+
+    /// Notes what the entry `name` reported of its group, and returns the digest of the group's entries if
+    /// they are known.
+    pub fn note_ack(&mut self, now: TimePoint, name: &str, ack: SpanAck) -> u64 {
+        self.acks.note(now, EntryKey::new(name), ack)
+    }
+
+    /// Returns what this entry and those that report to it know of the shares by which streams begin, for
+    /// a hub that knows the entries of the digest `known`.
+    pub fn ack(&mut self, now: TimePoint, known: u64) -> SpanAck {
+        let mut ack = self.acks.group(now, self.marker.newest_ms());
+        if ack.digest == known {
+            ack.entries.clear();
+        }
+        ack
     }
 
     /// Reports whether this entry knows the marker that the fleet knows, or that there is none.
@@ -150,9 +170,10 @@
     }
 
     /// Merges a marker that another entry knows.
-    pub fn merge_marker(&mut self, marker: Option<OriginMarker>) {
-        let known_ms = self.marker_ms();
-        self.marker = marker.filter(|marker| marker.written_ms > known_ms).or(self.marker.take());
+    pub fn merge_marker(&mut self, marker: Option<&OriginMarker>) {
+        if let Some(marker) = marker {
+            self.marker.join(marker);
+        }
     }
 
     /// Notes how long a caller of a stream waits, over all its tries, when it first asks.
@@ -196,35 +217,29 @@
         if !self.is_read(now) {
             return OriginAnswer::without(OriginEvidence::Incomplete, store_age);
         }
-        let sole = match question.services.as_slice() {
+        let sole = || match question.services.as_slice() {
             [service] if store_age <= MAX_SOLE_AGE => self.history.sole(service),
             _ => None,
         };
-        match sole {
-            Some(version) => OriginAnswer {
-                version: Some(version),
-                evidence: OriginEvidence::Sole,
-                age: store_age,
-            },
-            None => match self.derive(question) {
-                Some(version) => OriginAnswer {
-                    version: Some(version),
-                    evidence: OriginEvidence::Derived,
-                    age: store_age,
-                },
-                None => OriginAnswer::without(OriginEvidence::Unknown, store_age),
-            },
+        let derived = self.derive(now, question).map(|version| (version, OriginEvidence::Derived));
+        match derived.or_else(|| Some((sole()?, OriginEvidence::Sole))) {
+            Some((version, evidence)) => {
+                OriginAnswer { version: Some(version), evidence, age: store_age }
+            }
+            None => OriginAnswer::without(OriginEvidence::Unknown, store_age),
         }
     }
 
-    /// Returns the version that began a stream if its caller first asked in a gap.
-    fn derive(&self, question: &OriginQuestion) -> Option<VersionKey> {
+    /// Returns the version that follows from the identifier of a stream, if it is the same by all shares by
+    /// which the stream may have begun.
+    fn derive(&self, now: TimePoint, question: &OriginQuestion) -> Option<VersionKey> {
+        self.archive.read_at().filter(|at| now.since(*at) <= MAX_DERIVED_AGE)?;
         let ([service], Some(stream)) = (question.services.as_slice(), question.stream) else {
             return None;
         };
-        let patience_ms = self.history.patience_ms(service);
+        let patience_ms = self.history.patience_ms(service).max(question.timeout_ms);
         let asked_ms = question.waits_until_ms?.checked_sub(patience_ms)?;
-        self.marker.as_ref()?.derived_version(service, stream, asked_ms)
+        self.marker.derived_version(service, stream, asked_ms)
     }
 
     /// Returns the longest time from now that a caller counts as waiting for a stream.
@@ -282,7 +297,7 @@
                 }
             }
             ArchivedNews::Version(served) => self.history.merge(&served),
-            ArchivedNews::Marker(marker) => self.merge_marker(Some(marker)),
+            ArchivedNews::Marker(marker) => self.merge_marker(Some(&marker)),
             ArchivedNews::Nothing => {}
         }
         Ok(())
@@ -321,16 +336,22 @@
     /// lacks nothing. `writer` is unique for the run of the process.
     pub fn pending(
         &mut self,
+        now: TimePoint,
         wall_ms: u64,
         writer: &str,
         input: &MarkerInput,
     ) -> Vec<ArchiveRecord> {
-        self.archive.pending(wall_ms, writer, &self.ledger, &self.history, input)
+        let ack = self.acks.group(now, self.marker.newest_ms());
+        let marker = self.marker.next(wall_ms, &ack, input);
+        self.archive.pending(wall_ms, writer, &self.ledger, &self.history, marker)
     }
 
     /// Notes that the store has the records of the last call of [`pending`](StreamOrigins::pending).
-    pub fn note_written(&mut self) {
+    ///
+    /// Returns the marker if it was among them.
+    pub fn note_written(&mut self) -> Option<OriginMarker> {
         let marker = self.archive.note_written();
-        self.merge_marker(marker);
+        self.merge_marker(marker.as_ref());
+        marker
     }
 }
