Send what cannot be repeated over connections that have been quiet for a while

Cause, from reading the code and the test: an endpoint sent bytes after a complete response; the connection was back in the pool when they came, and the next request had been written to it. The bytes count as its answer then, and it must not be sent again. It was not reproduced here (the test passed in each run before and after the change).

Change: a request that cannot be sent again takes a connection that was idle for 50 ms, by when such bytes have come and closed it, or a new one.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -11,6 +11,10 @@
 /// closing it already.
 const IDLE_SHARE: f64 = 0.6;
 
+/// Idle time after which a connection counts as quiet: bytes that a faulty endpoint sends after a response have
+/// come by then, and closed the connection.
+const QUIET_TIME: Duration = Duration::from_millis(50);
+
 /// Maximum number of idle connections to one process instance of an endpoint.
 const MAX_IDLE: usize = 32;
 
@@ -23,7 +27,7 @@
 
 impl ConnectionPool {
     /// Returns an idle connection to the endpoint `name`, or a new connection to `address` if there
-    /// is none.
+    /// is none. A connection that `must_be_quiet` has been idle for [`QUIET_TIME`], or is new.
     ///
     /// # Errors
     ///
@@ -32,20 +36,24 @@
         &self,
         name: &str,
         address: SocketAddr,
+        must_be_quiet: bool,
     ) -> Result<HttpConnection, ConnectionError> {
-        match self.take_idle(name) {
+        match self.take_idle(name, must_be_quiet) {
             Some(connection) => Ok(connection),
             None => HttpConnection::open(address).await,
         }
     }
 
-    fn take_idle(&self, name: &str) -> Option<HttpConnection> {
+    fn take_idle(&self, name: &str, must_be_quiet: bool) -> Option<HttpConnection> {
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         let connections = idle.get_mut(name)?;
         connections.retain(|connection| {
             !connection.is_closed() && connection.idle() < usable_idle_time(connection)
         });
-        let ready = connections.iter().rposition(HttpConnection::is_ready)?;
+        let may_take = |connection: &HttpConnection| {
+            connection.is_ready() && (!must_be_quiet || connection.idle() >= QUIET_TIME)
+        };
+        let ready = connections.iter().rposition(may_take)?;
         Some(connections.swap_remove(ready))
     }
 
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -372,7 +372,10 @@
         let state = Arc::clone(&self.state);
         let work = WorkGuard { state, ticket, instance, sent_at: now, excused: self.excused };
         let repeat = self.sends > 1;
-        let mut connection = match self.state.pool.take(&choice.name, work.instance.address).await {
+        // What cannot be sent again must not meet the bytes that a faulty endpoint sends late.
+        let must_be_quiet = !self.request.route.is_idempotent();
+        let taken = self.state.pool.take(&choice.name, work.instance.address, must_be_quiet).await;
+        let mut connection = match taken {
             Ok(connection) => connection,
             Err(error) => {
                 self.state.metrics.note_send("unreached", repeat);
