--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -1,6 +1,9 @@
 //! A simulated fleet, its callers, and what is checked of it.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use pimentorock_kernel::{
     stream_origin::{
@@ -78,7 +81,9 @@
     /// Versions whose endpoints serve, and the time at which the store last began to list each
     /// version.
     serving: BTreeSet<&'static str>,
-    listed_since: std::collections::BTreeMap<&'static str, TimePoint>,
+    listed_since: BTreeMap<&'static str, TimePoint>,
+    /// Slots of each version's endpoints, 64 if it is missing.
+    slots: BTreeMap<&'static str, u32>,
     streams: Vec<SimulatedStream>,
     /// Reports that come again.
     late_reports: Vec<(u64, usize, OriginDelta)>,
@@ -109,7 +114,8 @@
             entries,
             store: SimulatedStore::default(),
             serving: BTreeSet::from(["a"]),
-            listed_since: Default::default(),
+            listed_since: BTreeMap::new(),
+            slots: BTreeMap::new(),
             streams: Vec::new(),
             late_reports: Vec::new(),
             down_until: 0,
@@ -185,6 +191,10 @@
                 self.toggle(version);
             }
         }
+        if self.draw(plan.slot_changes) {
+            let (version, slots) = (self.below(VERSIONS.len()), 1 + self.below(640) as u32);
+            self.slots.insert(VERSIONS[version], slots);
+        }
         if self.draw(plan.kills) {
             let killed = self.below(count);
             self.kill(20, |index| index == killed);
@@ -351,7 +361,11 @@
             }
             entry.origins.note_read(now);
         }
-        let share = |version: &&str| VersionShare { software: (*version).into(), slots: 64 };
+        let slots = &self.slots;
+        let share = |version: &&str| VersionShare {
+            software: (*version).into(),
+            slots: slots.get(version).copied().unwrap_or(64),
+        };
         let is_current = entry.store_age(now) <= MAX_LIST_AGE;
         let shares = is_current.then(|| (SERVICE.into(), entry.listed.iter().map(share).collect()));
         let input = MarkerInput { era: entry.era, shares: shares.into_iter().collect() };
--- a/crates/kernel/tests/origin_simulation/origin_plan.rs
+++ b/crates/kernel/tests/origin_simulation/origin_plan.rs
@@ -10,6 +10,8 @@
     pub streams: u64,
     /// Changes of the versions that serve.
     pub version_changes: u64,
+    /// Changes of the slots of one version's endpoints.
+    pub slot_changes: u64,
     /// Kills of one entry, of a part, and of all.
     pub kills: u64,
     pub part_kills: u64,
@@ -34,6 +36,7 @@
             ticks: 1_200,
             streams: 1_500,
             version_changes: 0,
+            slot_changes: 0,
             kills: 0,
             part_kills: 0,
             total_kills: 0,
@@ -50,6 +53,7 @@
     pub fn troubled(entries: usize) -> OriginPlan {
         OriginPlan {
             version_changes: 8,
+            slot_changes: 20,
             kills: 12,
             part_kills: 4,
             total_kills: 3,
