End the grace of lapsed endpoints with that of the outage

Cause: the endpoint left without saying so. A lapsed endpoint is used only where the others accept no more; since streams begin at one version, that comes more often.

Change: the 2.5 s count from the end of the outage, as records that lapsed are back within two seconds of it. The test fails without.

--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -128,14 +128,15 @@
         let entry = record.map(|record| record.entry);
         let before = known.and_then(|row| row.entry.clone());
         let was_lapsed = known.is_some_and(|row| row.lapses_at.is_some());
-        let after_outage = self.outage_end.is_some_and(|end| now.since(end) < LAPSE_GRACE);
+        let grace_end = self.outage_end.map(|end| end + LAPSE_GRACE).filter(|end| now < *end);
         let still_ready = before.as_ref().is_some_and(|before| !before.leaving);
-        let lapsed = entry.is_none() && after_outage && still_ready;
+        let grace_end = grace_end.filter(|_| entry.is_none() && still_ready);
+        let lapsed = grace_end.is_some();
         let row = DirectoryRow {
             position,
             newest_run: run.or(known_run),
             entry: if lapsed { before.clone() } else { entry.clone() },
-            lapses_at: lapsed.then(|| now + LAPSE_GRACE),
+            lapses_at: grace_end,
         };
         self.live += usize::from(row.entry.is_some());
         self.live -= usize::from(before.is_some());
--- a/crates/kernel/tests/place_directory.rs
+++ b/crates/kernel/tests/place_directory.rs
@@ -60,6 +60,19 @@
     assert_eq!(directory.expire(back + LAPSE_GRACE), [DirectoryChange::Gone("e1".into())]);
 }
 
+#[test]
+fn an_entry_removed_after_an_outage_is_gone_once_the_grace_period_of_the_outage_is_over() {
+    let back = TimePoint::from_millis(9_000);
+    let mut directory = directory_after_outage(back);
+    let removed = back + LAPSE_GRACE - Duration::from_millis(600);
+    for millis in (0..1_900).step_by(400) {
+        directory.note_contact(back + Duration::from_millis(millis));
+    }
+    let lapsed = DirectoryChange::Lapsed("e1".into());
+    assert_eq!(directory.take(removed, "e1", at(2), None), Some(lapsed));
+    assert_eq!(directory.expire(back + LAPSE_GRACE), [DirectoryChange::Gone("e1".into())]);
+}
+
 #[test]
 fn an_entry_that_registers_again_in_the_grace_period_stays() {
     let back = TimePoint::from_millis(9_000);
