--- a/crates/kernel/tests/stream_origin.rs
+++ b/crates/kernel/tests/stream_origin.rs
@@ -1,10 +1,11 @@
 //! Records of the versions that began streams, of a few entries.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use pimentorock_kernel::{
     stream_origin::{
-        MarkerInput, OriginEvidence, OriginQuestion, StreamKey, StreamOrigins, VersionKey,
+        ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginQuestion, SpanAck,
+        StreamKey, StreamOrigins, VersionKey, VersionShare,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -82,3 +83,138 @@
     }
     assert!(reader.take_archived(NOW, "of a later version", b"any").is_ok());
 }
+
+/// Returns the shares of two versions of [`SERVICE`].
+fn shares(first: u32, second: u32) -> MarkerInput {
+    let share = |software: &str, slots| VersionShare { software: software.into(), slots };
+    let of_service: Vec<_> = [share("v1", first), share("v2", second)]
+        .into_iter()
+        .filter(|share| share.slots > 0)
+        .collect();
+    MarkerInput { era: 0, shares: BTreeMap::from([(SERVICE.into(), of_service)]) }
+}
+
+/// Writes what `root` would write at `wall_ms`, and returns the records.
+fn write(root: &mut StreamOrigins, wall_ms: u64, input: &MarkerInput) -> Vec<ArchiveRecord> {
+    root.note_read(NOW);
+    let records = root.pending(NOW, wall_ms, "root", input);
+    root.note_written();
+    records
+}
+
+/// Returns what a root hub answers of a stream without a record whose caller first asked at `asked_ms`.
+fn derived(root: &StreamOrigins, stream: u64, asked_ms: u64) -> OriginAnswer {
+    let question = OriginQuestion {
+        stream: Some(StreamKey(stream)),
+        services: vec![SERVICE.into()],
+        waits_until_ms: Some(asked_ms + 15_000),
+        timeout_ms: 15_000,
+    };
+    root.find(NOW, Duration::ZERO, &question)
+}
+
+#[test]
+fn an_entry_follows_shares_only_once_the_store_has_them() {
+    let mut root = StreamOrigins::new("root", 1);
+    root.note_read(NOW);
+    root.pending(NOW, WALL_MS, "root", &shares(1, 1));
+    assert_eq!(root.begin_version(SERVICE, StreamKey(1)), None);
+    root.note_written();
+    assert!(root.begin_version(SERVICE, StreamKey(1)).is_some());
+}
+
+/// A name that no stream has is not taken for one whose record was lost.
+#[test]
+fn a_version_is_derived_only_if_an_entry_was_lost_since_the_caller_asked() {
+    let mut root = StreamOrigins::new("root", 1);
+    write(&mut root, WALL_MS, &shares(1, 1));
+    let records = write(&mut root, WALL_MS + 400, &shares(1, 1));
+    let asked_ms = WALL_MS + 5_000;
+    assert_eq!(derived(&root, 1, asked_ms).evidence, OriginEvidence::Unknown);
+    let mut next = StreamOrigins::new("root", 2);
+    for record in write(&mut root, WALL_MS + 500, &shares(1, 1)).iter().chain(&records) {
+        next.take_archived(NOW, &record.key, &record.value).unwrap();
+    }
+    write(&mut next, asked_ms + 1_000, &shares(1, 1));
+    let answer = derived(&next, 1, asked_ms);
+    assert_eq!(answer.version, root.begin_version(SERVICE, StreamKey(1)));
+    assert_eq!(answer.evidence, OriginEvidence::Derived);
+    assert_eq!(derived(&next, 1, asked_ms + 2_000).evidence, OriginEvidence::Unknown);
+}
+
+/// Streams that began before entries followed any shares, or before the store lost what it had.
+#[test]
+fn no_version_is_derived_for_streams_that_may_have_begun_at_any() {
+    let mut first = StreamOrigins::new("root", 1);
+    let records = write(&mut first, WALL_MS, &shares(1, 1));
+    let records: Vec<_> =
+        records.into_iter().chain(write(&mut first, WALL_MS + 400, &shares(1, 1))).collect();
+    let next = |era| {
+        let mut next = StreamOrigins::new("root", 2);
+        for record in &records {
+            next.take_archived(NOW, &record.key, &record.value).unwrap();
+        }
+        write(&mut next, WALL_MS + 20_000, &MarkerInput { era, ..shares(1, 1) });
+        write(&mut next, WALL_MS + 20_400, &MarkerInput { era, ..shares(1, 1) });
+        next
+    };
+    let evidence = |era, asked_ms| derived(&next(era), 1, asked_ms).evidence;
+    assert_eq!(evidence(0, WALL_MS + 5_000), OriginEvidence::Derived);
+    assert_eq!(evidence(0, WALL_MS), OriginEvidence::Unknown);
+    assert_eq!(evidence(1, WALL_MS + 5_000), OriginEvidence::Unknown);
+}
+
+/// Guards against root hubs that write apart from each other.
+#[test]
+fn markers_join_whatever_their_order_and_number() {
+    let mut roots = [("a", 0, 1, 0), ("b", 50, 1, 9), ("c", 90, 9, 1)].map(|root| {
+        let (name, later_ms, first, second) = root;
+        let mut root = StreamOrigins::new(name, 1);
+        write(&mut root, WALL_MS + later_ms, &shares(first, second));
+        root
+    });
+    let markers = [0, 1, 2].map(|index| roots[index].marker_news(0));
+    let joined = [[0, 1, 2, 2], [2, 1, 0, 1], [1, 2, 0, 0]].map(|order| {
+        let mut entry = StreamOrigins::new("d", 1);
+        order.iter().for_each(|index| entry.merge_marker(markers[*index].as_ref()));
+        entry
+    });
+    for stream in 0..200 {
+        let begun = joined.each_ref().map(|entry| entry.begin_version(SERVICE, StreamKey(stream)));
+        assert!(begun[0].is_some() && begun.iter().all(|version| *version == begun[0]));
+    }
+    let news = joined.map(|entry| entry.marker_news(0).map(|marker| marker.spans));
+    assert_eq!(news[0].as_ref().map(Vec::len), Some(6));
+    assert_eq!(news[0], news[1]);
+    assert_eq!(news[1], news[2]);
+    roots[0].merge_marker(markers[2].as_ref());
+    assert_eq!(roots[0].marker_news(0).map(|marker| marker.spans.len()), Some(4));
+}
+
+/// Guards against entries that are told apart wrongly when one changes its hub.
+#[test]
+fn a_span_ends_only_once_all_entries_know_a_later_one() {
+    let mut root = StreamOrigins::new("root", 1);
+    let ack = |known_ms| {
+        let mut entry = StreamOrigins::new("entry", 1);
+        SpanAck { known_ms, ..entry.ack(NOW, 0) }
+    };
+    let open = |root: &StreamOrigins| {
+        let spans = root.marker_news(0).unwrap().spans;
+        spans.iter().filter(|span| span.until_ms.is_none()).count()
+    };
+    root.note_ack(NOW, "entry", ack(0));
+    write(&mut root, WALL_MS, &shares(1, 0));
+    write(&mut root, WALL_MS + 100, &shares(1, 1));
+    write(&mut root, WALL_MS + 200, &shares(1, 1));
+    assert_eq!(open(&root), 3);
+    root.note_ack(NOW, "entry", ack(WALL_MS + 50));
+    write(&mut root, WALL_MS + 300, &shares(1, 1));
+    assert_eq!(open(&root), 2);
+    root.note_ack(NOW, "entry", ack(WALL_MS + 150));
+    write(&mut root, WALL_MS + 400, &shares(1, 1));
+    assert_eq!(open(&root), 1);
+    // The same entries are not sent again to a hub that knows them.
+    let known = root.ack(NOW, 0);
+    assert!(root.ack(NOW, known.digest).entries.is_empty());
+}
