--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -159,6 +159,32 @@
     }
 }
 
+/// All streams begin within the last 0.3 s before the kill.
+#[test]
+fn take_ups_go_on_after_a_kill_of_all_just_after_a_version_left() {
+    for killed_after in [10, 16, 24] {
+        for seed in 0..4 {
+            let plan = OriginPlan { streams: 12_000, ..OriginPlan::calm(12) };
+            let mut fleet = OriginFleet::new(plan, seed);
+            for tick in 0..450 {
+                match tick {
+                    40 => fleet.toggle("b"),
+                    200 => fleet.toggle("a"),
+                    _ if tick + 6 == 200 + killed_after => fleet.end_streams(),
+                    _ if tick == 200 + killed_after => {
+                        fleet.take_ups = Default::default();
+                        fleet.begin_no_more();
+                        fleet.kill(20, |_| true);
+                    }
+                    _ => {}
+                }
+                fleet.play_tick();
+            }
+            check_share(&format!("killed after {killed_after}, seed {seed}"), &fleet, 0.5);
+        }
+    }
+}
+
 /// No entry may say that one version only has served, as its copy of the store is old.
 #[test]
 fn take_ups_go_on_by_records_while_the_store_is_away_and_one_version_serves() {
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -172,6 +172,11 @@
         self.streams.clear();
     }
 
+    /// Lets no further streams begin.
+    pub fn begin_no_more(&mut self) {
+        self.plan.streams = 0;
+    }
+
     fn draw(&mut self, per_mille: u64) -> bool {
         self.random.random_range(0..1_000) < per_mille
     }
