--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -37,6 +37,7 @@
 //!   * or its caller waits longer than the route keeps a request, than any caller of the service did before, or
 //!     than [`STREAM_LIFE`];
 //!   * or its caller names another attempt than the one that brought its first event;
+//!   * or the clocks of the entry that is asked and of the root hub that ended a span differ by more than 0.6 s;
 //!   * or it began at an entry that served without the marker, which an entry waits for 2 s after its first
 //!     configuration, or that reached no root hub for [`STREAM_LIFE`], and followed shares of before that;
 //! * or a second version has served, no span says so, and the root hub that answers knows of one only: its copy
