--- a/crates/kernel/tests/stream_origin.rs
+++ b/crates/kernel/tests/stream_origin.rs
@@ -222,8 +222,12 @@
 /// Guards against an entry that counts as missing for ever once another root hub missed it.
 #[test]
 fn an_entry_that_another_root_hub_missed_is_not_missing_where_it_reports() {
+    let ack = |name| {
+        let mut entry = StreamOrigins::new(name, 1);
+        SpanAck { known_ms: WALL_MS + 10_000, ..entry.ack(NOW, 0) }
+    };
     let mut other = StreamOrigins::new("other", 1);
-    other.note_ack(NOW, "entry", StreamOrigins::new("entry", 1).ack(NOW, 0));
+    other.note_ack(NOW, "entry", ack("entry"));
     write(&mut other, WALL_MS, &shares(1, 1));
     let later = NOW + Duration::from_secs(3);
     other.note_read(later);
@@ -232,8 +236,9 @@
     for record in &records {
         root.take_archived(NOW, &record.key, &record.value).unwrap();
     }
-    root.note_ack(NOW, "entry", StreamOrigins::new("entry", 1).ack(NOW, 0));
-    root.note_ack(NOW, "other", StreamOrigins::new("other", 1).ack(NOW, 0));
+    root.note_ack(NOW, "entry", ack("entry"));
+    root.note_ack(NOW, "other", ack("other"));
     write(&mut root, WALL_MS + 3_100, &shares(1, 1));
+    write(&mut root, WALL_MS + 3_200, &shares(1, 1));
     assert_eq!(derived(&root, 1, WALL_MS + 5_000).evidence, OriginEvidence::Unknown);
 }
