Take back the change of which entries count as missing

With it streams_begun_as_the_store_went_away_go_on_after_a_kill_of_all_entries failed (one run): its callers state their whole patience at each try, so no entry seems lost since they asked, and their streams stay unknown.

--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -343,9 +343,6 @@
     ) -> Vec<ArchiveRecord> {
         let ack = self.acks.group(now, self.marker.newest_ms());
         let marker = self.marker.next(wall_ms, &ack, input);
-        // Who reports is this entry's own observation, which a join would not take back.
-        self.marker.entries.clone_from(&marker.entries);
-        self.marker.lost_ms = marker.lost_ms;
         self.archive.pending(wall_ms, writer, &self.ledger, &self.history, marker)
     }
 
