--- a/review/kit/src/entries.rs
+++ b/review/kit/src/entries.rs
@@ -63,6 +63,11 @@
     ///
     /// The settings are those of the users' small deployments.
     pub fn start(zones: &[&str], platform: SocketAddr) -> Entries {
+        Entries::start_at(zones, &vec![platform; zones.len()])
+    }
+
+    /// As [`start`](Entries::start), with an address of the platform for each machine.
+    pub fn start_at(zones: &[&str], platforms: &[SocketAddr]) -> Entries {
         let root = repository();
         if !root.join(PROGRAM).exists() {
             eprintln!("{PROGRAM} is missing: build it as the deploy file says");
@@ -81,7 +86,7 @@
             let ip = addresses[index];
             let name = format!("front-{zone}-{}", index + 1);
             let settings = entries.folder.join(format!("{name}.yaml"));
-            fs::write(&settings, settings_text(&name, zone, ip, ports, &seeds.concat(), platform))
+            fs::write(&settings, settings_text(&name, zone, ip, ports, &seeds.concat(), platforms[index]))
                 .expect("settings can be written");
             let log = entries.folder.join(format!("{name}.log"));
             let zone = (*zone).to_owned();
--- a/review/kit/src/server.rs
+++ b/review/kit/src/server.rs
@@ -107,6 +107,8 @@
     tickets: Arc<AtomicU64>,
     turn: Arc<AtomicU64>,
     running: Arc<AtomicU64>,
+    /// Value of `Server-Limit` in answers; empty for none.
+    limit: Arc<Mutex<String>>,
 }
 
 impl Server {
@@ -154,6 +156,7 @@
             tickets: Arc::default(),
             turn: Arc::default(),
             running: Arc::default(),
+            limit: Arc::default(),
         };
         server.run(listener);
         server
@@ -205,6 +208,11 @@
         self.store.put("keyed.servers", &self.id, &entry);
     }
 
+    /// Names this limit in all answers from now on.
+    pub fn name_limit(&self, limit: &str) {
+        *self.limit.lock().unwrap() = limit.to_owned();
+    }
+
     /// Removes the server's entry without reporting `draining`; the server goes on serving.
     pub fn remove_entry(&self) {
         self.beats.store(false, Ordering::Relaxed);
@@ -290,12 +298,16 @@
             pause(2);
         }
         let (seal, load) = (self.seal(attempt), self.load());
-        let headers = [
+        let limit = self.limit.lock().unwrap().clone();
+        let mut headers = vec![
             ("X-Attempt-Id", attempt),
             ("X-Server-Seal", seal.as_str()),
             ("X-Server-Load", load.as_str()),
             ("Keep-Alive", "timeout=5"),
         ];
+        if !limit.is_empty() {
+            headers.push(("Server-Limit", limit.as_str()));
+        }
         self.observer.note(&self.id, attempt, What::Finished);
         let body = format!("done {attempt}");
         writer.write_all(&answer("200 OK", &headers, body.as_bytes())).is_ok()
--- a/review/kit/src/store.rs
+++ b/review/kit/src/store.rs
@@ -4,7 +4,7 @@
 //! appends, reads that wait, 410 for records that were deleted, and the newest record of each key.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct Topic {
     log: Vec<LogRecord>,
+    /// When each record was appended.
+    times: Vec<Instant>,
     /// Offset of the first record that was not deleted.
     first: usize,
     newest: BTreeMap<String, usize>,
@@ -37,6 +39,23 @@
             self.newest.insert(key.clone(), self.log.len());
         }
         self.log.push((key, value));
+        self.times.push(Instant::now());
+    }
+
+    /// Forgets all records that were appended later than `at`.
+    fn go_back(&mut self, at: Instant) {
+        let kept = self.times.partition_point(|time| *time <= at);
+        self.log.truncate(kept);
+        self.times.truncate(kept);
+        self.first = self.first.min(kept);
+        self.newest.clear();
+        for (offset, (key, value)) in self.log.iter().enumerate() {
+            if value.is_empty() {
+                self.newest.remove(key);
+            } else {
+                self.newest.insert(key.clone(), offset);
+            }
+        }
     }
 }
 
@@ -45,6 +64,14 @@
     topics: HashMap<String, Topic>,
     /// Number of calls by path and topic.
     calls: BTreeMap<String, u64>,
+    /// Number of times that the store came back from an older copy.
+    era: u64,
+    /// Whether the store is away: it answers 503 to all calls and does nothing.
+    is_away: bool,
+    /// Numbers of the addresses at which calls are turned away with 503.
+    turned_away: BTreeSet<usize>,
+    /// Number of addresses.
+    addresses: usize,
     /// Usage reports: time, holder, token and body.
     reports: Vec<(Instant, String, u64, String)>,
 }
@@ -53,15 +80,41 @@
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
+    /// Number of the address; each machine may be given one of its own.
+    number: usize,
     state: Arc<Mutex<State>>,
 }
 
 impl Store {
     /// Starts the platform at a free port.
     pub fn start() -> Store {
+        Store::serve_at_free_port(Arc::default())
+    }
+
+    /// Returns the same platform at another address, at which it may turn calls away.
+    pub fn at_another_address(&self) -> Store {
+        Store::serve_at_free_port(Arc::clone(&self.state))
+    }
+
+    /// Sets whether calls at this address are turned away with 503.
+    pub fn turn_away(&self, turns_away: bool) {
+        let mut state = self.state.lock().unwrap();
+        if turns_away {
+            state.turned_away.insert(self.number);
+        } else {
+            state.turned_away.remove(&self.number);
+        }
+    }
+
+    fn serve_at_free_port(state: Arc<Mutex<State>>) -> Store {
+        let number = {
+            let mut state = state.lock().unwrap();
+            state.addresses += 1;
+            state.addresses
+        };
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let store = Store { address, state: Arc::default() };
+        let store = Store { address, number, state };
         let serving = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -86,6 +139,27 @@
         }
     }
 
+    /// Returns the newest value of a key.
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let topic = state.topics.get(topic)?;
+        let (_, value) = &topic.log[*topic.newest.get(key)?];
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
+    /// Takes the store away for a drill.
+    pub fn leave(&self) {
+        self.state.lock().unwrap().is_away = true;
+    }
+
+    /// Brings the store back from a copy that was made at `at`; the era rises by one.
+    pub fn come_back(&self, at: Instant) {
+        let mut state = self.state.lock().unwrap();
+        state.topics.values_mut().for_each(|topic| topic.go_back(at));
+        state.era += 1;
+        state.is_away = false;
+    }
+
     /// Returns how often each call was made.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         self.state.lock().unwrap().calls.clone()
@@ -102,8 +176,17 @@
         let (mut reader, mut writer) = (BufReader::new(clone), stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
             pause(ANSWER_MS);
-            let (status, body) = self.respond(&request);
-            let bytes = answer(status, &[("Store-Era", "0")], &body);
+            let is_store = request.path() != "/usage";
+            let is_refused = {
+                let state = self.state.lock().unwrap();
+                state.is_away || state.turned_away.contains(&self.number)
+            };
+            let (status, body) = match is_store && is_refused {
+                true => ("503 Service Unavailable", Vec::new()),
+                false => self.respond(&request),
+            };
+            let era = self.state.lock().unwrap().era.to_string();
+            let bytes = answer(status, &[("Store-Era", &era)], &body);
             if writer.write_all(&bytes).is_err() {
                 return;
             }
