--- a/review/kit/src/bin/drain.rs
+++ b/review/kit/src/bin/drain.rs
@@ -1,4 +1,4 @@
-//! A server leaves without reporting `draining`, and the store has deleted the record of its leaving.
+//! Some servers leave without reporting `draining` while a machine is added.
 
 use std::{
     sync::{
@@ -25,6 +25,13 @@
 /// Time for which the server that leaves goes on after `drain-ms`.
 const LINGER_S: f64 = 8.0;
 
+/// Servers of the service, and those of them that leave: a quarter.
+const SERVERS: usize = 32;
+const LEAVING: usize = 8;
+
+/// Time between the removals of two entries.
+const LEAVE_GAP_MS: u64 = 50;
+
 /// One request of a client: its attempt, the machine, and when it was sent.
 struct Sent {
     attempt: String,
@@ -48,31 +55,22 @@
     let store = Store::start();
     store.put("keyed.op", "config", &config());
     let observer = Observer::new(&record);
-    let zones = ["santander", "bilbao", "oviedo"];
-    let servers: Vec<Server> = (0..3)
+    // The first machine is added later.
+    let zones = ["santander"; 4];
+    let servers: Vec<Server> = (0..SERVERS)
         .map(|index| {
-            let id = format!("i-{index}");
-            Server::start(&id, "orders", zones[index], 6, Work::Answer { ms: 120 }, &store, &observer)
+            let (id, zone) = (format!("i-{index:02}"), zones[1 + index % 3]);
+            Server::start(&id, "orders", zone, 6, Work::Answer { ms: 120 }, &store, &observer)
         })
         .collect();
-    let mut entries = Entries::start(&zones, store.address);
+    let mut entries = Entries::start_late(&zones, store.address, 1);
     let stop = Arc::new(AtomicBool::new(false));
-    if trouble() {
-        // The store keeps the newest record of each key only, and deletes all others at once.
-        let (store, stop) = (store.clone(), Arc::clone(&stop));
-        std::thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
-                store.delete_records("keyed.servers");
-                pause(50);
-            }
-        });
-    }
     entries.await_ready();
     record.say("all machines are ready");
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let mut clients = Vec::new();
-    for client in 0..12 {
-        let front = client % 3;
+    for client in 0..24 {
+        let front = 1 + client % 3;
         let address = entries.front(front);
         let (sent, stop, record) = (Arc::clone(&sent), Arc::clone(&stop), record.clone());
         clients.push(std::thread::spawn(move || {
@@ -110,13 +108,20 @@
     }
     // The machines are in touch: nothing happens for longer than `stable-window-ms`.
     pause(5_000);
-    let leaving = &servers[2];
-    leaving.remove_entry();
-    let left_at = record.now();
-    record.say(format!("the entry of {} is removed from the store", leaving.id));
+    let mut left = Vec::new();
+    for (number, server) in servers[..LEAVING].iter().enumerate() {
+        if trouble() && number == LEAVING / 2 {
+            entries.spawn(0);
+            record.say("a machine is added");
+        }
+        server.remove_entry();
+        left.push((server.id.clone(), record.now()));
+        pause(LEAVE_GAP_MS);
+    }
+    record.say(format!("the entries of {LEAVING} servers are removed from the store, one each {LEAVE_GAP_MS} ms"));
     pause(((DRAIN_S + LINGER_S) * 1_000.0) as u64);
-    leaving.exit();
-    record.say(format!("{} exits", leaving.id));
+    servers[..LEAVING].iter().for_each(Server::exit);
+    record.say("these servers exit");
     pause(2_000);
     stop.store(true, Ordering::Relaxed);
     for client in clients {
@@ -126,30 +131,31 @@
     let seen = observer.all();
     let served = sent.iter().filter(|request| request.status == 200).count();
     record.say(format!("{} requests sent, {served} answered 200", sent.len()));
-    let ended = (0..3).filter(|index| entries.has_ended(*index)).count();
+    let ended = (0..zones.len()).filter(|index| entries.has_ended(*index)).count();
     if served == 0 || ended > 0 {
         record.say(format!("the case could not run: {ended} processes ended by themselves"));
         entries.end();
         std::process::exit(NOT_RUN);
     }
-    let mut late = [0; 3];
+    let mut late = vec![0; zones.len()];
     let mut lost = 0;
-    let due = left_at + DRAIN_S;
-    for request in sent.iter().filter(|request| request.at > due) {
-        let here = seen.iter().filter(|seen| seen.attempt == request.attempt && seen.server == leaving.id);
-        let whats: Vec<What> = here.map(|seen| seen.what).collect();
-        if whats.contains(&What::Arrived) {
-            late[request.front] += 1;
+    for (id, left_at) in &left {
+        let mut here = 0;
+        for request in sent.iter().filter(|request| request.at > left_at + DRAIN_S) {
+            let at_server = seen.iter().filter(|seen| seen.attempt == request.attempt && seen.server == *id);
+            let whats: Vec<What> = at_server.map(|seen| seen.what).collect();
+            if whats.contains(&What::Arrived) {
+                late[request.front] += 1;
+                here += 1;
+            }
+            lost += usize::from(whats.contains(&What::Cut));
         }
-        lost += usize::from(whats.contains(&What::Cut));
+        record.say(format!("{id}, removed at {left_at:.3}: {here} requests that were sent later than drain-ms after that"));
     }
-    for (index, late) in late.iter().enumerate() {
-        record.say(format!(
-            "{}: {late} requests that were sent later than drain-ms after the removal reached {}",
-            entries.list[index].name, leaving.id
-        ));
+    for (entry, late) in entries.list.iter().zip(&late) {
+        record.say(format!("{late} of them came from {}", entry.name));
     }
-    record.say(format!("{lost} of them were cut off when {} exited", leaving.id));
+    record.say(format!("{lost} of them were cut off when their servers exited"));
     entries.end();
     std::process::exit(if late.iter().sum::<usize>() > 0 { BROKEN } else { HELD });
 }
--- a/review/kit/src/bin/one.rs
+++ b/review/kit/src/bin/one.rs
@@ -135,7 +135,7 @@
     }
     let own: Vec<Store> = zones.iter().map(|_| store.at_another_address()).collect();
     let platforms: Vec<SocketAddr> = own.iter().map(|store| store.address).collect();
-    let mut entries = Entries::start_at(&zones, &platforms);
+    let mut entries = Entries::start_at(&zones, &platforms, 0);
     entries.await_ready();
     record.say("all machines are ready");
     let stop = Arc::new(AtomicBool::new(false));
--- a/review/kit/src/entries.rs
+++ b/review/kit/src/entries.rs
@@ -63,11 +63,17 @@
     ///
     /// The settings are those of the users' small deployments.
     pub fn start(zones: &[&str], platform: SocketAddr) -> Entries {
-        Entries::start_at(zones, &vec![platform; zones.len()])
+        Entries::start_at(zones, &vec![platform; zones.len()], 0)
+    }
+
+    /// As [`start`](Entries::start), but the first `late` machines are added later; the others do not
+    /// know of them.
+    pub fn start_late(zones: &[&str], platform: SocketAddr, late: usize) -> Entries {
+        Entries::start_at(zones, &vec![platform; zones.len()], late)
     }
 
     /// As [`start`](Entries::start), with an address of the platform for each machine.
-    pub fn start_at(zones: &[&str], platforms: &[SocketAddr]) -> Entries {
+    pub fn start_at(zones: &[&str], platforms: &[SocketAddr], late: usize) -> Entries {
         let root = repository();
         if !root.join(PROGRAM).exists() {
             eprintln!("{PROGRAM} is missing: build it as the deploy file says");
@@ -81,7 +87,7 @@
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut entries = Entries { list: Vec::new(), ports, folder, root };
         let seeds: Vec<String> =
-            addresses.iter().take(3).map(|ip| format!("  - \"{ip}:{}\"\n", ports[2])).collect();
+            addresses.iter().skip(late).take(3).map(|ip| format!("  - \"{ip}:{}\"\n", ports[2])).collect();
         for (index, zone) in zones.iter().enumerate() {
             let ip = addresses[index];
             let name = format!("front-{zone}-{}", index + 1);
@@ -92,10 +98,10 @@
             let zone = (*zone).to_owned();
             entries.list.push(Entry { name, zone, ip, settings, log, child: None });
         }
-        for index in 0..entries.list.len() {
+        for index in late..entries.list.len() {
             entries.spawn(index);
             // "All machines start within 0.3 s of each other, in any order."
-            crate::pause(if index == 0 { 240 } else { 20 });
+            crate::pause(if index == late { 240 } else { 20 });
         }
         guard();
         entries
@@ -166,7 +172,8 @@
     /// Waits until all machines are ready; ends the case as one that could not run otherwise.
     pub fn await_ready(&mut self) {
         for index in 0..self.list.len() {
-            if !wait_for(20.0, || self.is_ready(index)) {
+            let runs = self.list[index].child.is_some();
+            if runs && !wait_for(20.0, || self.is_ready(index)) {
                 eprintln!("{} is not ready", self.list[index].name);
                 self.end();
                 std::process::exit(NOT_RUN);
