--- a/review/kit/src/bin/drain.rs
+++ b/review/kit/src/bin/drain.rs
@@ -100,7 +100,8 @@
                         }
                     }
                 }
-                record.line(format!("client {attempt} sent to machine {front} at {at:.3}: {status}"));
+                record
+                    .line(format!("client {attempt} sent to machine {front} at {at:.3}: {status}"));
                 sent.lock().unwrap().push(Sent { attempt, front, at, status });
                 pause(40);
             }
@@ -118,7 +119,9 @@
         left.push((server.id.clone(), record.now()));
         pause(LEAVE_GAP_MS);
     }
-    record.say(format!("the entries of {LEAVING} servers are removed from the store, one each {LEAVE_GAP_MS} ms"));
+    record.say(format!(
+        "the entries of {LEAVING} servers are removed from the store, one each {LEAVE_GAP_MS} ms"
+    ));
     pause(((DRAIN_S + LINGER_S) * 1_000.0) as u64);
     servers[..LEAVING].iter().for_each(Server::exit);
     record.say("these servers exit");
@@ -142,7 +145,8 @@
     for (id, left_at) in &left {
         let mut here = 0;
         for request in sent.iter().filter(|request| request.at > left_at + DRAIN_S) {
-            let at_server = seen.iter().filter(|seen| seen.attempt == request.attempt && seen.server == *id);
+            let at_server =
+                seen.iter().filter(|seen| seen.attempt == request.attempt && seen.server == *id);
             let whats: Vec<What> = at_server.map(|seen| seen.what).collect();
             if whats.contains(&What::Arrived) {
                 late[request.front] += 1;
--- a/review/kit/src/bin/drain_deleted.rs
+++ b/review/kit/src/bin/drain_deleted.rs
@@ -52,7 +52,15 @@
     let servers: Vec<Server> = (0..3)
         .map(|index| {
             let id = format!("i-{index}");
-            Server::start(&id, "orders", zones[index], 6, Work::Answer { ms: 120 }, &store, &observer)
+            Server::start(
+                &id,
+                "orders",
+                zones[index],
+                6,
+                Work::Answer { ms: 120 },
+                &store,
+                &observer,
+            )
         })
         .collect();
     let mut entries = Entries::start(&zones, store.address);
@@ -102,7 +110,8 @@
                         }
                     }
                 }
-                record.line(format!("client {attempt} sent to machine {front} at {at:.3}: {status}"));
+                record
+                    .line(format!("client {attempt} sent to machine {front} at {at:.3}: {status}"));
                 sent.lock().unwrap().push(Sent { attempt, front, at, status });
                 pause(40);
             }
@@ -136,7 +145,8 @@
     let mut lost = 0;
     let due = left_at + DRAIN_S;
     for request in sent.iter().filter(|request| request.at > due) {
-        let here = seen.iter().filter(|seen| seen.attempt == request.attempt && seen.server == leaving.id);
+        let here =
+            seen.iter().filter(|seen| seen.attempt == request.attempt && seen.server == leaving.id);
         let whats: Vec<What> = here.map(|seen| seen.what).collect();
         if whats.contains(&What::Arrived) {
             late[request.front] += 1;
--- a/review/kit/src/bin/gone.rs
+++ b/review/kit/src/bin/gone.rs
@@ -172,7 +172,8 @@
     let (mut at_work, mut still) = (0, 0);
     for stream in streams.iter().filter(|stream| stream.end == End::Left) {
         // The runs of the request: when a server began to work on it, and when it stopped.
-        let runs = seen.iter().filter(|seen| seen.attempt == stream.attempt && seen.what == What::Began);
+        let runs =
+            seen.iter().filter(|seen| seen.attempt == stream.attempt && seen.what == What::Began);
         let ends = runs.map(|began| {
             let end = seen.iter().find(|seen| {
                 let same = seen.attempt == began.attempt && seen.server == began.server;
@@ -185,7 +186,10 @@
             at_work += 1;
             still += usize::from(last > stream.at + GONE_S);
             let after = (last - stream.at) * 1_000.0;
-            record.line(format!("request {}: a server worked on it for {after:.0} ms after its client had left", stream.attempt));
+            record.line(format!(
+                "request {}: a server worked on it for {after:.0} ms after its client had left",
+                stream.attempt
+            ));
         }
     }
     record.say(format!(
--- a/review/kit/src/bin/one.rs
+++ b/review/kit/src/bin/one.rs
@@ -80,7 +80,8 @@
     let from = Instant::now();
     let known = entries.logged(before, "usage duty changed hands").len();
     own[before].turn_away(true);
-    record.say(format!("{} holds the duty, and the store turns it away", entries.list[before].name));
+    record
+        .say(format!("{} holds the duty, and the store turns it away", entries.list[before].name));
     let copy = {
         let mut copy = Instant::now();
         loop {
@@ -204,20 +205,28 @@
         let reports = store.reports();
         for (at, holder, token, body) in &reports[printed..] {
             let at = at.saturating_duration_since(start).as_secs_f64();
-            record.line(format!("report at {at:.3} s after the first, by {holder} with token {token}: {body}"));
+            record.line(format!(
+                "report at {at:.3} s after the first, by {holder} with token {token}: {body}"
+            ));
         }
         printed = reports.len();
         let mut highest = 0;
         broken = 0;
         for (at, holder, token, _) in &reports {
-            let is_excused = rounds.iter().any(|round| *at >= round.from && *at < round.until + EXCUSED);
+            let is_excused =
+                rounds.iter().any(|round| *at >= round.from && *at < round.until + EXCUSED);
             if *token < highest && !is_excused {
                 broken += 1;
-                record.line(format!("{holder} reports with token {token} after token {highest} was seen"));
+                record.line(format!(
+                    "{holder} reports with token {token} after token {highest} was seen"
+                ));
             }
             highest = highest.max(*token);
         }
-        record.say(format!("{} reports so far, {broken} with a lower token than one seen before", reports.len()));
+        record.say(format!(
+            "{} reports so far, {broken} with a lower token than one seen before",
+            reports.len()
+        ));
         if broken > 0 {
             break;
         }
--- a/review/kit/src/bin/order.rs
+++ b/review/kit/src/bin/order.rs
@@ -164,7 +164,8 @@
     let streams: Arc<Mutex<Vec<Stream>>> = Arc::default();
     let mut clients = Vec::new();
     for number in 0..STREAMS {
-        let (addresses, streams, record) = (addresses.clone(), Arc::clone(&streams), record.clone());
+        let (addresses, streams, record) =
+            (addresses.clone(), Arc::clone(&streams), record.clone());
         clients.push(std::thread::spawn(move || {
             let stream = run(&addresses, number, &record);
             streams.lock().unwrap().push(stream);
--- a/review/kit/src/entries.rs
+++ b/review/kit/src/entries.rs
@@ -86,14 +86,21 @@
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut entries = Entries { list: Vec::new(), ports, folder, root };
-        let seeds: Vec<String> =
-            addresses.iter().skip(late).take(3).map(|ip| format!("  - \"{ip}:{}\"\n", ports[2])).collect();
+        let seeds: Vec<String> = addresses
+            .iter()
+            .skip(late)
+            .take(3)
+            .map(|ip| format!("  - \"{ip}:{}\"\n", ports[2]))
+            .collect();
         for (index, zone) in zones.iter().enumerate() {
             let ip = addresses[index];
             let name = format!("front-{zone}-{}", index + 1);
             let settings = entries.folder.join(format!("{name}.yaml"));
-            fs::write(&settings, settings_text(&name, zone, ip, ports, &seeds.concat(), platforms[index]))
-                .expect("settings can be written");
+            fs::write(
+                &settings,
+                settings_text(&name, zone, ip, ports, &seeds.concat(), platforms[index]),
+            )
+            .expect("settings can be written");
             let log = entries.folder.join(format!("{name}.log"));
             let zone = (*zone).to_owned();
             entries.list.push(Entry { name, zone, ip, settings, log, child: None });
--- a/review/kit/src/http.rs
+++ b/review/kit/src/http.rs
@@ -150,7 +150,13 @@
     }
 
     /// Sends a request.
-    pub fn send(&mut self, method: &str, target: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn send(
+        &mut self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut bytes = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
         for (name, value) in headers {
             bytes.extend(format!("{name}: {value}\r\n").into_bytes());
