--- a/review/kit/src/server.rs
+++ b/review/kit/src/server.rs
@@ -101,6 +101,8 @@
     runs: Arc<AtomicBool>,
     /// Whether the server writes its entry.
     beats: Arc<AtomicBool>,
+    /// Whether the server reports `draining`.
+    drains: Arc<AtomicBool>,
     seq: Arc<AtomicU64>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     /// Held by the request whose prompt is being read, in the order of arrival.
@@ -151,6 +153,7 @@
             observer: observer.clone(),
             runs: Arc::new(AtomicBool::new(true)),
             beats: Arc::new(AtomicBool::new(true)),
+            drains: Arc::default(),
             seq: Arc::default(),
             streams: Arc::default(),
             tickets: Arc::default(),
@@ -170,6 +173,7 @@
             born: wall_ms(),
             runs: Arc::new(AtomicBool::new(true)),
             beats: Arc::new(AtomicBool::new(true)),
+            drains: Arc::default(),
             seq: Arc::default(),
             streams: Arc::default(),
             tickets: Arc::default(),
@@ -200,9 +204,10 @@
     /// Writes the server's entry.
     fn beat(&self) {
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
+        let state = if self.drains.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
-             \"slots\":{},\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":{seq},\"born\":{}}}",
+             \"slots\":{},\"state\":\"{state}\",\"cold-left-ms\":0,\"seq\":{seq},\"born\":{}}}",
             self.service, self.address, self.zone, self.version, self.slots, self.born
         );
         self.store.put("keyed.servers", &self.id, &entry);
@@ -213,6 +218,12 @@
         *self.limit.lock().unwrap() = limit.to_owned();
     }
 
+    /// Reports `draining`; the server goes on serving.
+    pub fn drain(&self) {
+        self.drains.store(true, Ordering::Relaxed);
+        self.beat();
+    }
+
     /// Removes the server's entry without reporting `draining`; the server goes on serving.
     pub fn remove_entry(&self) {
         self.beats.store(false, Ordering::Relaxed);
