--- a/review/kit/src/bin/one.rs
+++ b/review/kit/src/bin/one.rs
@@ -144,7 +144,7 @@
     let mut clients = Vec::new();
     for front in 0..zones.len() {
         let address = entries.front(front);
-        let (stop, served) = (Arc::clone(&stop), Arc::clone(&served));
+        let (stop, served, record) = (Arc::clone(&stop), Arc::clone(&served), record.clone());
         clients.push(std::thread::spawn(move || {
             let mut number = 0;
             while !stop.load(Ordering::Relaxed) {
@@ -162,6 +162,7 @@
                         && let Ok(mut reply) = connection.reply()
                     {
                         let _ = connection.body(&mut reply);
+                        record.line(format!("client {attempt}: {}", reply.status));
                         *served.lock().unwrap() += u64::from(reply.status == 200);
                     }
                 }
--- a/review/kit/src/entries.rs
+++ b/review/kit/src/entries.rs
@@ -5,7 +5,10 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -20,6 +23,9 @@
 /// Set while the processes of a case run.
 static RUNNING: AtomicBool = AtomicBool::new(false);
 
+/// Ids of the processes that were started and not yet waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// One front machine.
 pub struct Entry {
     pub name: String,
@@ -127,6 +133,7 @@
             .stderr(Stdio::from(log))
             .spawn()
             .expect("the program starts");
+        STARTED.lock().unwrap().push(child.id());
         entry.child = Some(child);
     }
 
@@ -143,6 +150,7 @@
         if let Some(mut child) = self.list[index].child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            forget(child.id());
         }
     }
 
@@ -150,6 +158,7 @@
     pub fn wait(&mut self, index: usize) {
         if let Some(mut child) = self.list[index].child.take() {
             let _ = child.wait();
+            forget(child.id());
         }
     }
 
@@ -213,6 +222,11 @@
     }
 }
 
+/// Forgets a process that has ended.
+fn forget(id: u32) {
+    STARTED.lock().unwrap().retain(|started| *started != id);
+}
+
 /// Ends the case if it takes too long; the shell that started it sees that it could not run.
 fn guard() {
     RUNNING.store(true, Ordering::Relaxed);
@@ -220,8 +234,9 @@
         std::thread::sleep(MAX_RUN);
         if RUNNING.load(Ordering::Relaxed) {
             eprintln!("the case takes too long");
-            let id = std::process::id().to_string();
-            let _ = Command::new("sh").args(["-c", &format!("pkill -KILL -P {id}")]).status();
+            let ids: Vec<String> = STARTED.lock().unwrap().iter().map(u32::to_string).collect();
+            let _ =
+                Command::new("sh").args(["-c", &format!("kill -KILL {}", ids.join(" "))]).status();
             std::process::exit(NOT_RUN);
         }
     });
