--- a/review/kit/src/bin/lost.rs
+++ b/review/kit/src/bin/lost.rs
@@ -1,11 +1,12 @@
-//! All machines are killed at once, a second after the old servers of a release began to drain.
+//! All machines are killed at once, a second after the old servers of a release began to drain; three
+//! releases.
 
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -21,9 +22,8 @@
     trouble,
 };
 
-/// Time between the starts of two streams, and while many users come at once.
-const START_MS: u64 = 40;
-const BURST_START_MS: u64 = 5;
+/// Time between the starts of two streams; the streams of a small site are about as many.
+const START_MS: u64 = 10;
 
 /// Time from the report of the old servers that they drain to their exit.
 const DRAIN_MS: u64 = 2_300;
@@ -43,6 +43,13 @@
 /// Take-ups from which on the rule is judged.
 const FEWEST: usize = 12;
 
+/// A kill of all machines, and the version that had just begun to serve.
+struct Kill {
+    at: f64,
+    back_at: f64,
+    version: &'static str,
+}
+
 /// One try of a client.
 struct Try {
     stream: usize,
@@ -70,6 +77,7 @@
 fn run(addresses: &[SocketAddr], number: usize, record: &Record, tries: &Mutex<Vec<Try>>) {
     let deadline = Instant::now() + Duration::from_millis(15_000);
     let first = format!("s{number}");
+    let body = format!("{{\"workshop\":{number}}}");
     let prefix = format!("{:x}:600", 0x1000 + number);
     let (mut events, mut version) = (0_u64, String::new());
     for retry in 0..TRIES {
@@ -85,7 +93,7 @@
             ("X-Attempt-Id", attempt.as_str()),
             ("X-Deadline-Ms", left_ms.as_str()),
             ("X-Model", "m"),
-            ("X-Token-Count", "600,200"),
+            ("X-Token-Count", "600,80"),
             ("X-Prompt-Prefix", prefix.as_str()),
             ("Authorization", "Token key-one-0123456789"),
         ];
@@ -98,7 +106,7 @@
         let end = (|| -> std::io::Result<()> {
             let mut connection = Connection::open(addresses[(number + retry) % addresses.len()])?;
             connection.set_patience(Duration::from_millis(2_400));
-            connection.send("POST", "/report/new", &headers, b"{\"workshop\":7}")?;
+            connection.send("POST", "/report/new", &headers, body.as_bytes())?;
             let mut reply = connection.reply()?;
             status = reply.status;
             if status != 200 {
@@ -150,17 +158,18 @@
         let (id, zone) = (format!("i-{version}-{index}"), zones[index % zones.len()]);
         Server::start_version(&id, "advisor", zone, 64, work, version, &store, &observer)
     };
-    let old: Vec<Server> = (0..6).map(|index| start(index, "1.0")).collect();
+    let begin =
+        |version: &str| -> Vec<Server> { (0..9).map(|index| start(index, version)).collect() };
+    let mut serving = begin("1.0");
     let mut entries = Entries::start(&zones, store.address);
     entries.await_ready();
     record.say("all machines are ready");
     let addresses: Vec<SocketAddr> = (0..zones.len()).map(|index| entries.front(index)).collect();
     let stop = Arc::new(AtomicBool::new(false));
     let tries: Arc<Mutex<Vec<Try>>> = Arc::default();
-    let start_ms = Arc::new(AtomicU64::new(START_MS));
     let starter = {
         let (stop, tries, record) = (Arc::clone(&stop), Arc::clone(&tries), record.clone());
-        let (start_ms, addresses) = (Arc::clone(&start_ms), addresses.clone());
+        let addresses = addresses.clone();
         std::thread::spawn(move || {
             let mut clients = Vec::new();
             let mut number = 0;
@@ -169,54 +178,54 @@
                     (addresses.clone(), Arc::clone(&tries), record.clone());
                 clients.push(std::thread::spawn(move || run(&addresses, number, &record, &tries)));
                 number += 1;
-                pause(start_ms.load(Ordering::Relaxed));
+                pause(START_MS);
             }
             clients.into_iter().for_each(|client| drop(client.join()));
             number
         })
     };
     pause(5_000);
-    // The new servers start first, then the old ones drain.
-    let _new: Vec<Server> = (0..6).map(|index| start(index, "2.0")).collect();
-    record.say("six servers with version 2.0 are listed");
-    pause(100);
-    old.iter().for_each(Server::drain);
-    record.say("the servers with version 1.0 report draining");
-    let leave = {
-        let record = record.clone();
-        std::thread::spawn(move || {
-            pause(DRAIN_MS);
-            old.iter().for_each(|server| {
-                server.remove_entry();
-                server.exit();
-            });
-            record.say("they have left");
-        })
-    };
-    start_ms.store(BURST_START_MS, Ordering::Relaxed);
-    pause(KILL_AFTER_MS);
-    start_ms.store(START_MS, Ordering::Relaxed);
-    let killed_at = record.now();
-    let mut back_at = killed_at;
-    if trouble() {
-        (0..zones.len()).for_each(|index| entries.signal(index, "KILL"));
-        (0..zones.len()).for_each(|index| entries.wait(index));
-        record.say("all machines are killed at once");
-        pause(DOWN_MS);
-        (0..zones.len()).for_each(|index| entries.spawn(index));
-        back_at = record.now();
-        record.say("all machines are back");
+    let mut kills: Vec<Kill> = Vec::new();
+    for version in ["2.0", "3.0", "4.0"] {
+        // The new servers start first, then the old ones drain.
+        let new = begin(version);
+        record.say(format!("nine servers with version {version} are listed"));
+        pause(100);
+        serving.iter().for_each(Server::drain);
+        record.say("the old servers report draining");
+        pause(KILL_AFTER_MS);
+        let at = record.now();
+        let mut back_at = at;
+        if trouble() {
+            (0..zones.len()).for_each(|index| entries.signal(index, "KILL"));
+            (0..zones.len()).for_each(|index| entries.wait(index));
+            record.say("all machines are killed at once");
+            pause(DOWN_MS);
+            (0..zones.len()).for_each(|index| entries.spawn(index));
+            back_at = record.now();
+            record.say("all machines are back");
+        }
+        kills.push(Kill { at, back_at, version });
+        pause(DRAIN_MS - KILL_AFTER_MS);
+        serving.iter().for_each(|server| {
+            server.remove_entry();
+            server.exit();
+        });
+        record.say("the old servers have left");
+        serving = new;
+        pause(12_000);
     }
-    pause(14_000);
-    let _ = leave.join();
     stop.store(true, Ordering::Relaxed);
     let streams = starter.join().unwrap_or(0);
     let tries = tries.lock().unwrap();
-    let in_touch = |at: f64| at < killed_at || at > back_at + STABLE_S;
-    // Streams whose clients hold events of 2.0, of which six servers serve, and take them up at machines
-    // in touch.
+    let in_touch = |at: f64| kills.iter().all(|kill| at < kill.at || at > kill.back_at + STABLE_S);
+    // Streams whose clients hold events of a new version, of which nine servers serve, and take them up
+    // at machines in touch.
     let taken_up = tries.iter().filter(|one| {
-        one.is_take_up && one.version == "2.0" && one.at > killed_at && in_touch(one.at)
+        let is_new = |kill: &Kill| {
+            kill.version == one.version && one.at > kill.at && one.at < kill.back_at + 12.0
+        };
+        one.is_take_up && in_touch(one.at) && kills.iter().any(is_new)
     });
     let mut taken: BTreeMap<usize, bool> = BTreeMap::new();
     for one in taken_up {
@@ -227,7 +236,7 @@
     let new: Vec<&Try> = tries.iter().filter(|one| !one.is_take_up && in_touch(one.at)).collect();
     let began = new.iter().filter(|one| one.events > 0).count();
     record.say(format!(
-        "{streams} streams; of {} with events of 2.0 that were taken up at machines in touch {went_on} went on; of {} new \
+        "{streams} streams; of {} with events of a new version that were taken up at machines in touch {went_on} went on; of {} new \
          streams {began} began",
         taken.len(),
         new.len()
--- a/review/kit/src/bin/one.rs
+++ b/review/kit/src/bin/one.rs
@@ -24,8 +24,8 @@
 /// Length of a usage window.
 const WINDOW_MS: u64 = 5_000;
 
-/// Longest time for which the store turns a machine away; 9.0 s on days of the site.
-const MAX_REFUSAL: Duration = Duration::from_millis(9_000);
+/// Longest time for which the store turns a machine away; days of the site have 9.0 s.
+const MAX_REFUSAL: Duration = Duration::from_millis(8_900);
 
 /// Time for which the store is away in the drill.
 const AWAY_MS: u64 = 2_200;
@@ -38,7 +38,7 @@
 const ROUNDS: usize = 5;
 
 /// Time of the run after which no further round begins.
-const LAST_ROUND_S: f64 = 93.0;
+const LAST_ROUND_S: f64 = 82.0;
 
 fn config() -> String {
     r#"{"version":1,"routes":[{"name":"order-place","host":"shop.example","path-prefix":"/orders/",
@@ -181,11 +181,12 @@
     let mut rounds: Vec<Round> = Vec::new();
     let mut printed = 0;
     let mut broken = 0;
-    for _ in 0..ROUNDS {
-        if record.now() > LAST_ROUND_S {
+    let mut lasts = false;
+    'rounds: for _ in 0..=ROUNDS {
+        if !lasts && record.now() > LAST_ROUND_S {
             break;
         }
-        if trouble() {
+        if trouble() && !lasts {
             let Some(round) = play(&store, &own, &entries, &record) else {
                 record.say("the duty has no holder");
                 entries.end();
@@ -193,7 +194,9 @@
             };
             rounds.push(round);
         }
-        pause(6_000);
+        if !lasts {
+            pause(6_000);
+        }
         if let Some(round) = rounds.last() {
             for (at, number, path, status) in store.duty_calls() {
                 if at > round.from {
@@ -228,6 +231,12 @@
             "{} reports so far, {broken} with a lower token than one seen before",
             reports.len()
         ));
+        if broken > 0 && !lasts {
+            // The fault lasts: the next windows are reported under the low token too.
+            lasts = true;
+            pause(10_000);
+            continue 'rounds;
+        }
         if broken > 0 {
             break;
         }
--- a/review/kit/src/bin/order.rs
+++ b/review/kit/src/bin/order.rs
@@ -24,7 +24,7 @@
 const START_MS: u64 = 40;
 
 /// Time for which the server is down.
-const DOWN_MS: u64 = 2_500;
+const DOWN_MS: u64 = 2_000;
 
 /// Tries of a client for one stream.
 const TRIES: usize = 4;
@@ -68,6 +68,7 @@
     left: Duration,
     stream: &mut Stream,
 ) -> std::io::Result<End> {
+    let body = format!("{{\"workshop\":{number}}}");
     let prefix = format!("{:x}:600", 0x1000 + number);
     let left_ms = left.as_millis().to_string();
     let last = stream.events.checked_sub(1).map(|last| last.to_string());
@@ -87,7 +88,7 @@
     let mut connection = Connection::open(address)?;
     // Four times the objective is the longest gap that clients wait.
     connection.set_patience(Duration::from_millis(2_400));
-    connection.send("POST", "/report/new", &headers, b"{\"workshop\":7}")?;
+    connection.send("POST", "/report/new", &headers, body.as_bytes())?;
     let mut reply = connection.reply()?;
     if reply.status != 200 {
         let after = header(&reply.headers, "retry-after").and_then(|after| after.parse().ok());
--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -11,9 +11,10 @@
 pub const BROKEN: i32 = 1;
 pub const NOT_RUN: i32 = 2;
 
-/// Reports whether the disruption shall take place; `TROUBLE=0` turns it off.
+/// Reports whether the disruption shall take place: the first argument, which `run.sh` takes from
+/// `TROUBLE`; `0` turns it off.
 pub fn trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+    std::env::args().nth(1).is_none_or(|value| value != "0")
 }
 
 /// Waits until `done` holds, and returns whether it did within `seconds`.
--- a/review/kit/src/server.rs
+++ b/review/kit/src/server.rs
@@ -25,7 +25,7 @@
 pub enum Work {
     /// Works for some milliseconds and answers with a body; goes on if its caller leaves.
     Answer { ms: u64 },
-    /// Reads prompts one after the other, then sends events; drops a request whose caller leaves.
+    /// Reads all prompts by turns, then sends events; drops a request whose caller leaves.
     Stream { tokens_per_ms: u64, tokens_per_event: u64, gap_ms: u64 },
 }
 
@@ -105,9 +105,8 @@
     drains: Arc<AtomicBool>,
     seq: Arc<AtomicU64>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
-    /// Held by the request whose prompt is being read, in the order of arrival.
-    tickets: Arc<AtomicU64>,
-    turn: Arc<AtomicU64>,
+    /// Requests whose prompts are being read.
+    reading: Arc<AtomicU64>,
     running: Arc<AtomicU64>,
     /// Value of `Server-Limit` in answers; empty for none.
     limit: Arc<Mutex<String>>,
@@ -156,8 +155,7 @@
             drains: Arc::default(),
             seq: Arc::default(),
             streams: Arc::default(),
-            tickets: Arc::default(),
-            turn: Arc::default(),
+            reading: Arc::default(),
             running: Arc::default(),
             limit: Arc::default(),
         };
@@ -176,8 +174,7 @@
             drains: Arc::default(),
             seq: Arc::default(),
             streams: Arc::default(),
-            tickets: Arc::default(),
-            turn: Arc::default(),
+            reading: Arc::default(),
             running: Arc::default(),
             ..self.clone()
         };
@@ -356,22 +353,19 @@
         let mut count = || counts.next().and_then(|count| count.trim().parse().ok()).unwrap_or(0);
         let (tokens, output): (u64, u64) = (count(), count());
         let events = output / tokens_per_event.max(1);
-        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         self.observer.note(&self.id, attempt, What::Began);
-        let mut left = tokens / tokens_per_ms.max(1);
+        // All prompts at the server are read by turns, a chunk at a time.
+        let mut left = tokens as f64 / tokens_per_ms.max(1) as f64;
         let mut over = false;
-        while self.turn.load(Ordering::Relaxed) != ticket {
-            // A request whose caller has left gives up its turn without being read.
-            over = over || self.is_over(writer, attempt);
-            pause(2);
-        }
-        while !over && left > 0 {
-            let step = left.min(10);
-            pause(step);
-            left -= step;
+        self.reading.fetch_add(1, Ordering::Relaxed);
+        while !over && left > 0.0 {
+            let from = Instant::now();
+            pause(5);
+            let reading = self.reading.load(Ordering::Relaxed).max(1);
+            left -= from.elapsed().as_secs_f64() * 1_000.0 / reading as f64;
             over = self.is_over(writer, attempt);
         }
-        self.turn.fetch_add(1, Ordering::Relaxed);
+        self.reading.fetch_sub(1, Ordering::Relaxed);
         if over {
             return false;
         }
--- a/review/kit/src/store.rs
+++ b/review/kit/src/store.rs
@@ -236,6 +236,9 @@
         loop {
             {
                 let state = self.state.lock().unwrap();
+                if state.is_away || state.turned_away.contains(&self.number) {
+                    return ("503 Service Unavailable", Vec::new());
+                }
                 let empty = Topic::default();
                 let topic = state.topics.get(topic).unwrap_or(&empty);
                 if from < topic.first || from > topic.log.len() {
