--- /dev/null
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -0,0 +1,131 @@
+//! Streams that callers take up where an entry may know less than it believes: after it stood still, after
+//! the version of the stream has left, and while a release begins.
+
+// These modules are shared with other tests, which use more of their functions.
+#[allow(dead_code, unused_imports)]
+#[path = "../../../platform/tests/crash/mod.rs"]
+mod crash;
+#[allow(dead_code)]
+#[path = "../../../platform/tests/soak/entry_process.rs"]
+mod entry_process;
+#[allow(dead_code)]
+#[path = "../../../platform/tests/hosted/fake_platform.rs"]
+mod fake_platform;
+#[allow(dead_code)]
+#[path = "../../../platform/tests/soak/fault_proxy.rs"]
+mod fault_proxy;
+#[allow(dead_code)]
+#[path = "../../../platform/tests/hosted/scripted_server.rs"]
+mod scripted_server;
+#[allow(dead_code)]
+#[path = "../../../platform/tests/versions/mod.rs"]
+mod versions;
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+use versions::{CallerEnd, StreamCaller, VersionFleet};
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_pimentorockd");
+
+/// Streams of one test.
+const STREAMS: usize = 48;
+
+/// Time after which the entries of a fleet know each other, and no span of its start is open.
+const SETTLED: Duration = Duration::from_secs(2);
+
+/// Events after which a caller closes its connection.
+const FEW_EVENTS: usize = 3;
+
+/// Checks that no caller holds events of two versions.
+fn check_versions<'a>(callers: impl Iterator<Item = &'a StreamCaller>) {
+    let mixed: Vec<_> = callers.filter(|caller| caller.is_mixed()).collect();
+    assert!(
+        mixed.is_empty(),
+        "{} streams hold events of two versions, such as {:?}",
+        mixed.len(),
+        mixed[0].versions
+    );
+}
+
+/// Plays a version that joins while entry `frozen` stands still for `frozen_for`, and takes the streams that
+/// began meanwhile up there.
+async fn play_frozen_entry(frozen: usize, frozen_for: Duration) {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    tokio::time::sleep(SETTLED).await;
+    let others: Vec<usize> = (0..3).filter(|entry| *entry != frozen).collect();
+    let stopped = tokio::time::Instant::now();
+    fleet.entries[frozen].signal(Signal::STOP);
+    fleet.add_endpoint("b").await;
+    fleet.add_endpoint("b").await;
+    fleet.drain("a");
+    // Streams that callers left just before the entry goes on.
+    let last_start = frozen_for.saturating_sub(Duration::from_millis(500));
+    tokio::time::sleep_until(stopped + last_start).await;
+    let callers = fleet.begin_short_streams(&others, STREAMS, FEW_EVENTS).await;
+    let begun = callers.iter().filter(|caller| caller.versions[0] == "b").count();
+    tokio::time::sleep_until(stopped + frozen_for).await;
+    fleet.entries[frozen].signal(Signal::CONT);
+    let ends = fleet.take_up_once(callers, frozen).await;
+    println!(
+        "{begun} streams began at the new version; ends: {:?}",
+        ends.iter().map(|(_, end)| *end).collect::<Vec<_>>()
+    );
+    check_versions(ends.iter().map(|(caller, _)| caller));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_root_hub_that_stood_still_while_a_version_joined_joins_no_streams() {
+    play_frozen_entry(0, Duration::from_millis(2_500)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_stood_still_while_a_version_joined_joins_no_streams() {
+    play_frozen_entry(2, Duration::from_millis(2_500)).await;
+}
+
+/// The callers of these fleets state their whole patience at each try.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_version_that_left_while_all_entries_were_killed_are_not_joined() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a", "b", "b"]).await;
+    tokio::time::sleep(SETTLED).await;
+    let streams = fleet.begin_streams(&[0, 1, 2], STREAMS);
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    (0..3).for_each(|entry| fleet.entries[entry].kill());
+    fleet.drain("b");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    (0..3).for_each(|entry| fleet.entries[entry].restart());
+    fleet.wait_serving().await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let callers = fleet.take_up(streams, &[2, 1, 0], 3).await;
+    assert!(callers.len() >= STREAMS / 2, "only {} streams were taken up", callers.len());
+    check_versions(callers.iter());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_old_version_go_on_as_a_release_begins() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    tokio::time::sleep(SETTLED).await;
+    let callers = fleet.begin_short_streams(&[0, 1, 2], STREAMS, FEW_EVENTS).await;
+    let mut refused = 0;
+    let mut taken_up = Vec::new();
+    fleet.add_endpoint("b").await;
+    for part in callers.chunks(STREAMS / 8) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let address = fleet.entries[1].callers();
+        for mut caller in part.iter().cloned().map(|caller| caller.with_events(2 * FEW_EVENTS)) {
+            taken_up.push(tokio::spawn(async move {
+                let end = caller.call(address).await;
+                (caller, end)
+            }));
+        }
+    }
+    let count = taken_up.len();
+    for caller in taken_up {
+        let (caller, end) = caller.await.unwrap();
+        assert!(!caller.is_mixed(), "{:?}", caller.versions);
+        refused += usize::from(matches!(end, CallerEnd::Refused(..)));
+    }
+    assert!(count >= STREAMS / 2, "only {count} streams were taken up");
+    assert_eq!(refused, 0, "{refused} of {count} streams were refused");
+}
--- a/crates/daemon/tests/stream_versions.rs
+++ b/crates/daemon/tests/stream_versions.rs
@@ -19,6 +19,7 @@
 #[allow(dead_code)]
 #[path = "../../../platform/tests/hosted/scripted_server.rs"]
 mod scripted_server;
+#[allow(dead_code)]
 #[path = "../../../platform/tests/versions/mod.rs"]
 mod versions;
 
