--- a/crates/daemon/tests/stream_version_facts.rs
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -67,11 +67,10 @@
     tokio::time::sleep_until(stopped + frozen_for).await;
     fleet.entries[frozen].signal(Signal::CONT);
     let ends = fleet.take_up_once(callers, frozen).await;
-    println!(
-        "{begun} streams began at the new version; ends: {:?}",
-        ends.iter().map(|(_, end)| *end).collect::<Vec<_>>()
-    );
     check_versions(ends.iter().map(|(caller, _)| caller));
+    let went_on = ends.iter().filter(|(_, end)| *end == CallerEnd::Complete).count();
+    assert!(begun >= STREAMS / 2, "only {begun} streams began at the new version");
+    assert!(2 * went_on >= ends.len(), "{went_on} of {} streams went on", ends.len());
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -35,8 +35,6 @@
     pub(crate) placement: PlacedRequest,
     /// How long the caller waits, over all its tries.
     pub(crate) patience: Duration,
-    /// Whether the caller says how long it waits.
-    pub(crate) states_patience: bool,
     pub(crate) arrived: TimePoint,
     pub(crate) deadline: TimePoint,
 }
@@ -74,7 +72,6 @@
                 version: None,
             },
             patience: head.time_left.unwrap_or(route.timeout),
-            states_patience: head.time_left.is_some(),
             deadline: arrived + timeout,
             arrived,
             route,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -36,6 +36,11 @@
 /// entry without contact after its `ENTRY_LIFE`, which is a few of these periods.
 const ENTRY_LIST_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between two reports to the hub while entries learn of new shares by which streams begin, and how long
+/// that may take.
+const SETTLING_PERIOD: Duration = Duration::from_millis(50);
+const MAX_SETTLING_TIME: Duration = Duration::from_secs(1);
+
 /// Time between calls to other entries while neither the hub nor the store provides current data.
 const DISCOVERY_PERIOD: Duration = Duration::from_millis(500);
 
@@ -104,6 +109,7 @@
     let mut clients = PeerClients::default();
     let mut announced_at = TimePoint::ZERO;
     let mut entries_sent_at = None;
+    let mut settling_until = TimePoint::ZERO;
     let mut round = 0;
     while !stop.is_cancelled() {
         let now = clock::now();
@@ -112,6 +118,7 @@
             (view.roster.hub(now), view.roster.period(now), view.is_stale(now))
         };
         state.step_limits(hub, exchange_period);
+        let marker_ms = state.origins().marker_ms();
         match hub {
             HubChoice::Peer(address) => {
                 let wants_entries =
@@ -141,9 +148,18 @@
                 announce(&state, &mut clients, address).await;
             }
         }
+        let is_unsettled = {
+            let origins = state.origins();
+            if origins.marker_ms() != marker_ms {
+                settling_until = now + MAX_SETTLING_TIME;
+            }
+            origins.is_unsettled()
+        };
+        let is_settling = is_unsettled && clock::now() < settling_until;
+        let pause = if is_settling { SETTLING_PERIOD } else { exchange_period };
         tokio::select! {
             () = stop.cancelled() => return,
-            () = sleep(exchange_period) => {}
+            () = sleep(pause.min(exchange_period)) => {}
         }
     }
 }
@@ -192,7 +208,7 @@
     let sent_at = clock::now();
     let known = clients.known_ledgers(address);
     let announcement = state.announcement(shares, true, known);
-    match clients.exchange(state, address, announcement).await {
+    match clients.exchange(state, address, announcement.report).await {
         Some(update) => {
             state.apply_update(address, sent_at, update, false);
             true
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 mod message_buffers;
 mod metered_stream;
 mod metrics;
+mod origin_calls;
 mod origins;
 mod peer;
 pub mod process;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
     take_ups: Counter<u64>,
+    marker_conflicts: Counter<u64>,
     stream_origins: Gauge<u64>,
     mixed_services: Gauge<u64>,
     refused_suspects: Counter<u64>,
@@ -64,6 +65,7 @@
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
             take_ups: meter.u64_counter("take_ups").build(),
+            marker_conflicts: meter.u64_counter("marker_conflicts").build(),
             stream_origins: meter.u64_gauge("stream_origins").build(),
             mixed_services: meter.u64_gauge("mixed_services").build(),
             refused_suspects: meter.u64_counter("refused_suspects").build(),
@@ -129,6 +131,12 @@
         self.take_ups.add(1, &[KeyValue::new("evidence", evidence)]);
     }
 
+    /// Counts a marker of stream origins that was not written, as another entry had written since the last
+    /// read.
+    pub(crate) fn note_marker_conflict(&self) {
+        self.marker_conflicts.add(1, &[]);
+    }
+
     /// Sets the number of streams whose versions are known, and of services with several versions.
     pub(crate) fn note_origins(&self, streams: usize, mixed_services: usize) {
         self.stream_origins.record(streams as u64, &[]);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -8,8 +8,9 @@
     reason::DecisionReason,
     stream_origin::{
         ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginMarker, OriginQuestion,
-        StreamKey, StreamOrigins, VersionKey, VersionShare,
+        OriginRecord, StreamKey, StreamOrigins, VersionKey, VersionShare,
     },
+    time::TimePoint,
 };
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -32,6 +33,14 @@
 /// Time between two looks whether an entry that starts must read the store.
 const START_PERIOD: Duration = Duration::from_millis(25);
 
+/// Minimum time between two calls to the store that do not wait for their turn, and for which records are
+/// collected before they go up to the hub.
+const URGENT_PERIOD: Duration = Duration::from_millis(20);
+
+/// Maximum time for which a question waits until the store was read; shorter than the time that another
+/// entry waits for the answer.
+const MAX_READ_WAIT: Duration = Duration::from_millis(150);
+
 /// Time between two reads of what other entries wrote; shorter than the age up to which the answers of
 /// this entry count as complete.
 const READ_PERIOD: Duration = Duration::from_millis(500);
@@ -51,6 +60,10 @@
 /// do not answer.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 
+/// Maximum time for which a take-up waits until an endpoint of its version is listed. An entry that stood
+/// still has heard of all endpoints by then.
+const MAX_LISTING_WAIT: Duration = Duration::from_millis(700);
+
 /// Time between two questions for the same stream.
 const ASK_AGAIN_PERIOD: Duration = Duration::from_millis(50);
 
@@ -81,18 +94,9 @@
 
     /// Returns what the next marker says of the fleet; no shares if the list of endpoints may be old.
     fn marker_input(&self, era: u64) -> MarkerInput {
-        let mut slots: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>> = BTreeMap::new();
-        if self.store_age() <= MAX_LIST_AGE {
-            for entry in self.directory().entries().filter(|entry| !entry.leaving) {
-                let of_service = slots.entry(entry.service.clone()).or_default();
-                *of_service.entry(entry.software.clone()).or_default() += entry.slots;
-            }
-        }
-        let share = |(software, slots)| VersionShare { software, slots };
-        let shares = slots
-            .into_iter()
-            .map(|(service, versions)| (service, versions.into_iter().map(share).collect()));
-        MarkerInput { era, shares: shares.collect() }
+        let is_current = self.store_age() <= MAX_LIST_AGE;
+        let shares = if is_current { self.shares(|_| true) } else { BTreeMap::new() };
+        MarkerInput { era, shares }
     }
 
     /// Applies a record of the topic of streams' versions.
@@ -109,10 +113,20 @@
 
     /// Returns the version that began a stream, after asking `hops` further entries at most.
     pub(crate) async fn find_origin(&self, question: &OriginQuestion, hops: u32) -> OriginAnswer {
-        let store_age = self.store_age();
-        let own = self.origins().find(clock::now(), store_age, question);
+        let asked_at = clock::now();
+        let mut own = self.find_own_origin(asked_at, question);
+        if own.is_recorded() {
+            return own;
+        }
+        let reads_store = self.view().serves_others(asked_at);
+        if reads_store && self.origin_calls.read_since(asked_at, MAX_READ_WAIT).await {
+            own = self.find_own_origin(asked_at, question);
+            if own.evidence != OriginEvidence::Incomplete {
+                return own;
+            }
+        }
         let next = match self.next_to_ask() {
-            Some(next) if hops > 0 && !own.is_recorded() => next,
+            Some(next) if hops > 0 => next,
             _ => return own,
         };
         let asked = self.origin_clients.find(next, question.clone(), hops - 1).await;
@@ -122,19 +136,48 @@
         own.or_asked(asked)
     }
 
+    /// Returns what this entry knows of a stream, for a question that came at `asked_at`.
+    fn find_own_origin(&self, asked_at: TimePoint, question: &OriginQuestion) -> OriginAnswer {
+        let listed_at = self.view().endpoints_current_at();
+        self.origins().find(clock::now(), asked_at, listed_at, question)
+    }
+
     /// Returns the entry that may know more of streams: the hub, or for the root hub the entry that
     /// reads the store in its place.
     fn next_to_ask(&self) -> Option<std::net::SocketAddr> {
-        let is_read = self.origins().is_read(clock::now());
         let view = self.view();
         match view.roster.hub(clock::now()) {
             HubChoice::Peer(hub) => Some(hub),
-            HubChoice::Own => {
-                let reader = view.follower.reader().filter(|_| !is_read);
-                reader.filter(|reader| *reader != view.roster.own())
-            }
+            HubChoice::Own => view.follower.reader().filter(|reader| *reader != view.roster.own()),
         }
     }
+
+    /// Applies records that another entry passed on at once, and passes them on as well.
+    pub(crate) fn take_urgent_origins(&self, records: Vec<OriginRecord>) {
+        self.origins().merge_records(clock::now(), &records);
+        self.origin_calls.pass_on(records);
+    }
+
+    /// Returns the slots of the listed endpoints of `service` that take new work, by version.
+    fn listed_shares(&self, service: &str) -> Vec<VersionShare> {
+        self.shares(|listed| listed == service).remove(service).unwrap_or_default()
+    }
+
+    /// Returns the slots of the listed endpoints that take new work, by version, of the services that
+    /// `is_wanted` selects.
+    fn shares(&self, is_wanted: impl Fn(&str) -> bool) -> BTreeMap<Box<str>, Vec<VersionShare>> {
+        let mut slots: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>> = BTreeMap::new();
+        let directory = self.directory();
+        let open = directory.entries().filter(|entry| !entry.leaving);
+        for entry in open.filter(|entry| is_wanted(&entry.service)) {
+            let of_service = slots.entry(entry.service.clone()).or_default();
+            let of_version = of_service.entry(entry.software.clone()).or_default();
+            *of_version = of_version.saturating_add(entry.slots);
+        }
+        let share = |(software, slots)| VersionShare { software, slots };
+        let shares = |versions: BTreeMap<_, _>| versions.into_iter().map(share).collect();
+        slots.into_iter().map(|(service, versions)| (service, shares(versions))).collect()
+    }
 }
 
 impl RequestDispatcher {
@@ -151,19 +194,13 @@
         let account = request.account.as_deref();
         if request.last_event.is_none() {
             if request.route.resumable {
-                let stream = StreamKey::new(account, &request.id);
-                let service = &*self.placement.service;
-                self.placement.version = self.state.origins().begin_version(service, stream);
+                self.placement.version = self.begin_version(account);
             }
             return Ok(());
         }
         let stream = request.resumes.as_deref().map(|attempt| StreamKey::new(account, attempt));
         let services = request.route.services.iter().map(|(service, _)| service.clone());
-        let patience_ms = request.patience.as_millis() as u64;
-        let waits_until_ms = request.states_patience.then(|| self.state.wall_ms() + patience_ms);
-        let timeout_ms = request.route.timeout.as_millis() as u64;
-        let question =
-            OriginQuestion { stream, services: services.collect(), waits_until_ms, timeout_ms };
+        let question = OriginQuestion { stream, services: services.collect() };
         let asked_at = clock::now();
         let answer = loop {
             let answer = self.state.find_origin(&question, MAX_HOPS).await;
@@ -196,9 +233,49 @@
         };
         self.placement.service = service;
         self.continue_at(version);
+        self.await_listing(asked_at, version).await;
         Ok(())
     }
 
+    /// Waits until an endpoint of `version` is listed, as this entry may not have heard of it yet, or until
+    /// the list is known to have matched the store after `asked_at`, for [`MAX_LISTING_WAIT`] at most.
+    async fn await_listing(&self, asked_at: TimePoint, version: VersionKey) {
+        let service = self.placement.service.clone();
+        let is_listed = || {
+            self.state.directory().entries().any(|entry| {
+                *entry.service == *service && VersionKey::new(&service, &entry.software) == version
+            })
+        };
+        while !is_listed()
+            && self.state.view().endpoints_current_at() < asked_at
+            && clock::now().since(asked_at) < MAX_LISTING_WAIT
+        {
+            sleep(ASK_AGAIN_PERIOD).await;
+        }
+    }
+
+    /// Notes that the stream begins, and returns the version at which it must.
+    fn begin_version(&self, account: Option<&str>) -> Option<VersionKey> {
+        let (state, service) = (&self.state, &*self.placement.service);
+        let stream = StreamKey::new(account, &self.request.id);
+        // Where several services run the route's requests, only a record tells which one began a stream.
+        let listed = state.listed_shares(service);
+        let until_ms = self.kept_until_ms();
+        let mut origins = state.origins();
+        let (version, is_urgent) =
+            origins.begin_at(clock::now(), service, stream, until_ms, &listed);
+        let record = origins.record(stream).filter(|_| is_urgent);
+        drop(origins);
+        state.origin_calls.pass_on(record.into_iter().collect());
+        version
+    }
+
+    /// Returns the wall-clock time in milliseconds until which records of the stream are kept.
+    fn kept_until_ms(&self) -> u64 {
+        let waiting = StreamOrigins::waiting_time(self.request.patience);
+        self.state.wall_ms().saturating_add(waiting.as_millis() as u64)
+    }
+
     /// Restricts the request to the version that began its stream.
     fn continue_at(&mut self, version: VersionKey) {
         let placement = std::mem::take(&mut self.placement);
@@ -217,13 +294,8 @@
             return;
         }
         let account = request.account.as_deref();
-        let until_ms =
-            self.state.wall_ms() + StreamOrigins::waiting_time(request.patience).as_millis() as u64;
+        let until_ms = self.kept_until_ms();
         let is_split = request.route.services.len() > 1;
-        if request.last_event.is_none() && request.states_patience {
-            let (service, software) = (&self.placement.service, &work.instance.software);
-            self.state.origins().note_patience(service, software, request.patience);
-        }
         // A caller may also name the attempt with which it took the stream up before.
         let begun = request.resumes.as_deref().filter(|_| request.last_event.is_some());
         for attempt in [Some(&*request.id), begun].into_iter().flatten() {
@@ -255,6 +327,19 @@
     next: Option<(u64, u64)>,
 }
 
+/// Why the publisher of origins takes a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StepCause {
+    /// The time between two steps is over.
+    Period,
+    /// A question waits until the store was read.
+    Question,
+    /// Records or shares should not wait for the next step.
+    News,
+    /// The entry stops.
+    Stop,
+}
+
 /// Writes the versions that began streams to the store, and reads what other entries wrote, as long
 /// as this entry reads the store on behalf of others and until `stop` is cancelled; writes once more
 /// after `stop`.
@@ -263,12 +348,14 @@
     let mut turn = ReadTurn::new();
     // An entry that starts serves callers once it has read the marker.
     let mut pause = Duration::ZERO;
-    let mut stopping = false;
-    while !stopping {
-        tokio::select! {
-            () = stop.cancelled() => stopping = true,
-            () = sleep(pause) => {}
-        }
+    let mut cause = StepCause::Period;
+    while cause != StepCause::Stop {
+        cause = tokio::select! {
+            () = stop.cancelled() => StepCause::Stop,
+            () = state.origin_calls.read_wanted() => StepCause::Question,
+            () = state.origin_calls.write_wanted() => StepCause::News,
+            () = sleep(pause) => StepCause::Period,
+        };
         pause = if state.origins().knows_marker() { WRITE_PERIOD } else { START_PERIOD };
         let now = clock::now();
         let role = state.view().role(now);
@@ -276,13 +363,45 @@
             publisher.retire();
             continue;
         }
-        if let Err(error) = publisher.step().await {
-            log::warn!(
-                target: part::FOLLOW, error = error.to_string();
-                "stream origins not exchanged with the store"
-            );
-            let entries = state.live_entries();
-            pause = turn.note_failure(now, role, entries, clock::random_fraction());
+        match publisher.step(cause).await {
+            Ok(()) if matches!(cause, StepCause::Question | StepCause::News) => {
+                sleep(URGENT_PERIOD).await;
+            }
+            Ok(()) => {}
+            Err(error) => {
+                log::warn!(
+                    target: part::FOLLOW, error = error.to_string();
+                    "stream origins not exchanged with the store"
+                );
+                let entries = state.live_entries();
+                pause = turn.note_failure(now, role, entries, clock::random_fraction());
+                sleep(URGENT_PERIOD).await;
+            }
+        }
+    }
+}
+
+/// Passes records that must not wait for the next exchange on to the hub, or to the store, until `stop` is
+/// cancelled.
+pub(crate) async fn pass_on_origins(state: Arc<GatewayState>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = state.origin_calls.records_wanted() => {}
+        }
+        let now = clock::now();
+        let hub = state.view().roster.hub(now);
+        match hub {
+            HubChoice::Own => {
+                state.origin_calls.take_records();
+                state.origin_calls.want_write();
+            }
+            HubChoice::Peer(hub) => {
+                let records = state.origin_calls.take_records();
+                // Records that do not arrive go with the next exchange.
+                state.origin_clients.note(hub, records).await;
+                sleep(URGENT_PERIOD / 4).await;
+            }
         }
     }
 }
@@ -296,12 +415,21 @@
     }
 
     /// Reads if that is due, and writes what the store lacks.
-    async fn step(&mut self) -> Result<(), StoreError> {
+    async fn step(&mut self, cause: StepCause) -> Result<(), StoreError> {
         let (now, read_at) = (clock::now(), self.state.origins().read_at());
-        if read_at.is_none_or(|at| now.since(at) >= READ_PERIOD) {
+        let is_due = read_at.is_none_or(|at| now.since(at) >= READ_PERIOD);
+        if is_due || cause == StepCause::Question {
             self.read().await?;
         }
-        self.write().await
+        match self.write().await {
+            // Another entry has written since.
+            Err(StoreError::Conflict) => {
+                self.state.metrics.note_marker_conflict();
+                self.read().await?;
+                self.write().await
+            }
+            written => written,
+        }
     }
 
     async fn read(&mut self) -> Result<(), StoreError> {
@@ -336,6 +464,7 @@
         self.next = Some((batch.era, next));
         if next >= batch.end {
             self.state.origins().note_read(sent_at);
+            self.state.origin_calls.note_read(sent_at);
         }
         if is_first {
             log::info!(
@@ -359,14 +488,24 @@
         }
         let new_record =
             |record: ArchiveRecord| NewRecord { key: record.key, value: record.value.into() };
+        // A marker counts only if its writer knows all that others wrote.
+        let has_marker = records.iter().any(ArchiveRecord::is_marker);
+        let expected = self.next.filter(|_| has_marker).map(|(_, next)| next);
+        let count = records.len() as u64;
         let records = records.into_iter().map(new_record).collect();
-        let sent = (state.store.append)(StoreTopic::Origins, records, None).await;
+        let sent = (state.store.append)(StoreTopic::Origins, records, expected).await;
         state.metrics.note_store_call("origins", sent.is_ok());
         let position = sent?;
         // A store that came back from an older copy meanwhile is written anew.
         if state.note_era(position.era, "store") == EraChange::Same && position.era == era {
+            if self.next == Some((era, position.offset)) {
+                self.next = Some((era, position.offset + count));
+            }
             let written = state.origins().note_written();
             written.iter().for_each(note_shares);
+            if written.is_some_and(|marker| marker.is_unsettled()) {
+                state.origin_calls.want_write();
+            }
         }
         Ok(())
     }
@@ -377,12 +516,14 @@
     for service in marker.services() {
         let spans: Vec<_> = marker.spans.iter().filter(|span| span.service == service).collect();
         let open = spans.iter().filter(|span| span.until_ms.is_none()).count();
+        let announced = spans.iter().filter(|span| span.is_announced).count();
+        let lacking = spans.iter().filter(|span| span.lacks_records).count();
         let shares = spans.last().map(|span| span.shares.as_slice()).unwrap_or_default();
         let shares = shares.iter().map(|share| format!("{}:{}", share.software, share.slots));
         log::info!(
             target: part::FOLLOW,
-            service = &*service, spans = spans.len(), open = open, entries = marker.entries.len(),
-            era = marker.era, shares = shares.collect::<Vec<_>>().join(",");
+            service = &*service, spans = spans.len(), open = open, announced = announced,
+            lacking_records = lacking, lost_ms = marker.lost_ms, entries = marker.entries.len(), era = marker.era, shares = shares.collect::<Vec<_>>().join(",");
             "stream shares written"
         );
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -17,7 +17,7 @@
     ids::ProcessId,
     send_limit::{LimitAnswer, LimitReport},
     stream_origin::{
-        OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, SpanAck, VersionNews,
+        OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, OriginRecord, SpanAck, VersionNews,
     },
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
 };
@@ -238,6 +238,8 @@
     async fn exchange(report: EntryReport) -> EntryUpdate;
     /// Returns the version that began a stream, after asking `hops` further entries at most.
     async fn find_origin(question: OriginQuestion, hops: u32) -> OriginAnswer;
+    /// Takes records of streams that the store should have at once.
+    async fn note_origins(records: Vec<OriginRecord>);
 }
 
 /// Answers the calls of peers from the shared state.
@@ -259,6 +261,10 @@
     ) -> OriginAnswer {
         self.state.find_origin(&question, hops).await
     }
+
+    async fn note_origins(self, _: context::Context, records: Vec<OriginRecord>) {
+        self.state.take_urgent_origins(records);
+    }
 }
 
 /// Accepts peers on `listener` and answers their calls until `stop` is cancelled.
@@ -369,24 +375,45 @@
         hops: u32,
     ) -> Option<OriginAnswer> {
         let asking = async {
-            let known = self.open().get(&address).cloned();
-            let client = match known {
-                Some(client) => client,
-                None => {
-                    let client = connect(address).await.ok()?;
-                    self.open().insert(address, client.clone());
-                    client
-                }
-            };
+            let client = self.client(address).await?;
             client.find_origin(context::current(), question, hops).await.ok()
         };
-        let answer = tokio::time::timeout(ORIGIN_TIMEOUT, asking).await.ok().flatten();
+        self.within_time(address, asking).await
+    }
+
+    /// Passes records on to the entry at `address`.
+    pub(crate) async fn note(&self, address: SocketAddr, records: Vec<OriginRecord>) {
+        let noting = async {
+            let client = self.client(address).await?;
+            client.note_origins(context::current(), records).await.ok()
+        };
+        self.within_time(address, noting).await;
+    }
+
+    /// Returns the result of a call to the entry at `address`; `None` if it takes longer than
+    /// [`ORIGIN_TIMEOUT`].
+    async fn within_time<T>(
+        &self,
+        address: SocketAddr,
+        call: impl Future<Output = Option<T>>,
+    ) -> Option<T> {
+        let answer = tokio::time::timeout(ORIGIN_TIMEOUT, call).await.ok().flatten();
         if answer.is_none() {
             self.open().remove(&address);
         }
         answer
     }
 
+    async fn client(&self, address: SocketAddr) -> Option<GatewayPeerClient> {
+        let known = self.open().get(&address).cloned();
+        if known.is_some() {
+            return known;
+        }
+        let client = connect(address).await.ok()?;
+        self.open().insert(address, client.clone());
+        Some(client)
+    }
+
     fn open(&self) -> MutexGuard<'_, HashMap<SocketAddr, GatewayPeerClient>> {
         self.open.lock().expect("no holder of the lock panics")
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -134,6 +134,7 @@
     awaited_tasks.spawn(duty::publish_shares(Arc::clone(&state), stop_tasks.clone()));
     awaited_tasks.spawn(suspects::publish_suspects(Arc::clone(&state), stop_tasks.clone()));
     awaited_tasks.spawn(origins::publish_origins(Arc::clone(&state), stop_tasks.clone()));
+    tokio::spawn(origins::pass_on_origins(Arc::clone(&state), stop_tasks.clone()));
     tokio::spawn(follow_settings(Arc::clone(&state), reload, stop_tasks.clone()));
     stop.cancelled().await;
     let signalled = clock::now();
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -152,6 +152,11 @@
         now.since(self.follower.current_at()) > self.roster.max_store_age(now)
     }
 
+    /// Returns the time at which the endpoints were last known to match the store.
+    pub(crate) fn endpoints_current_at(&self) -> TimePoint {
+        self.endpoints_current_at
+    }
+
     /// Stores the record of the current configuration.
     pub(crate) fn cache_config(&mut self, version: u64, record: StoreRecord) {
         self.config = Some((version, record));
@@ -213,6 +218,13 @@
     Outdated,
 }
 
+/// A report without load.
+pub(crate) struct Announcement {
+    pub(crate) report: EntryReport,
+    /// Whether the report has no room for all records of streams that the receiver lacks.
+    lacks_origins: bool,
+}
+
 impl GatewayState {
     /// Notes the era that the store stated in an answer, or that a peer has seen; `source` is
     /// `store` or `peer`.
@@ -249,10 +261,13 @@
     ) -> EntryReport {
         let own = self.table().own_load();
         let load = self.view().load_aggregator.group(clock::now(), &own);
-        EntryReport {
-            group: Some(self.group_report(load, known.entries)),
-            ..self.announcement(shares, wants_entries, known)
+        let mut group = self.group_report(load, known.entries);
+        let announcement = self.announcement(shares, wants_entries, known);
+        if announcement.lacks_origins {
+            // An acknowledgement says that the hub has all records from before it.
+            group.spans.known_ms = 0;
         }
+        EntryReport { group: Some(group), ..announcement.report }
     }
 
     fn group_report(&self, load: GroupLoad, known_entries: u64) -> GroupReport {
@@ -277,17 +292,18 @@
         shares: Vec<EntryShare>,
         wants_entries: bool,
         known: KnownLedgers,
-    ) -> EntryReport {
+    ) -> Announcement {
         let now = clock::now();
         let suspects = self.suspects().changes_since(now, known.requests.by_peer);
         let part_suspects = self.part_suspects().changes_since(now, known.parts.by_peer);
-        let (origins, versions, marker_ms) = {
+        let (origins, versions, marker_ms, lacks_origins) = {
             let own = self.origins();
             let records = own.shared_since(known.origins.by_peer);
-            (records, own.version_news(known.versions), own.marker_ms())
+            let lacks_origins = !own.is_whole(records.position);
+            (records, own.version_news(known.versions), own.marker_ms(), lacks_origins)
         };
         let view = self.view();
-        EntryReport {
+        let report = EntryReport {
             process: self.process.clone(),
             peer: self.settings.peers,
             domain: self.settings.domain.clone(),
@@ -310,7 +326,8 @@
             marker_ms,
             // The empty domain stands for no domain: the list has at most three entries of each.
             entries: if wants_entries { view.roster.listed_to(now, "") } else { Vec::new() },
-        }
+        };
+        Announcement { report, lacks_origins }
     }
 
     /// Applies the report of another entry, and returns the data that the entry lacks.
@@ -338,6 +355,9 @@
             known.merge(now, &report.origins);
             let spans = report.group.as_ref().map(|group| group.spans.clone());
             let entries = spans.map(|ack| known.note_ack(now, &report.process.name, ack));
+            if known.is_unsettled() {
+                self.origin_calls.want_write();
+            }
             let versions = known.version_news(report.versions.digest);
             let marker = known.marker_news(report.marker_ms);
             let entries = entries.unwrap_or(0);
@@ -432,6 +452,7 @@
         {
             let mut origins = self.origins();
             origins.merge_versions(&update.versions);
+            // Shares the streams of the spans before, so that the next report has them.
             origins.merge_marker(update.marker.as_ref());
             if update.knows_marker {
                 origins.note_marker_known();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
     logs::part,
     message_buffers::MessageBuffers,
     metrics::GatewayMetrics,
+    origin_calls::OriginCalls,
     peer::OriginClients,
     route_table::RouteTable,
     settings::GatewaySettings,
@@ -91,6 +92,8 @@
     origins: Mutex<StreamOrigins>,
     /// Connections to the entries that are asked for the versions of streams.
     pub(crate) origin_clients: OriginClients,
+    /// What must not wait for the next exchange of the versions of streams.
+    pub(crate) origin_calls: OriginCalls,
     usage_counter: Mutex<UsageCounter>,
     /// Last usage share of this entry, and its time.
     last_share: Mutex<Option<(TimePoint, UsageShare)>>,
@@ -122,6 +125,7 @@
             crash_checks: CrashChecks::default(),
             origins: Mutex::new(StreamOrigins::new(&process.name, process.incarnation)),
             origin_clients: OriginClients::default(),
+            origin_calls: OriginCalls::new(),
             process,
             codec,
             store,
@@ -339,6 +343,8 @@
         if changes.is_empty() {
             return;
         }
+        // The shares by which streams begin may change.
+        self.origin_calls.want_write();
         for change in changes {
             match change {
                 DirectoryChange::Put(name, endpoint) => {
--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -7,55 +7,47 @@
 //! # What is kept where
 //!
 //! The version at which a stream begins follows from the stream's identifier and the shares that the versions
-//! of the service have of the slots ([`StreamOrigins::begin_version`]). The root hub writes the shares to
+//! of the service have of the slots ([`StreamOrigins::begin_at`]). The root hub writes the shares to
 //! the store, in a marker ([`OriginMarker`]) that holds the spans in which they were in force
-//! ([`ShareSpan`]), and entries follow a span once the store has it and a hub has told them. A span ends when
-//! each entry that reported lately has reported that it knows a later one ([`SpanAck`]). So a start
-//! waits for nothing, and any root hub that reads the store works out the version of any stream: it is the
-//! same by all spans that may have been in force since the caller first asked, or it is unknown. The time at
-//! which it first asked follows from how long it still waits and how long callers of the service wait at most.
+//! ([`ShareSpan`]), under the condition that it has read all that others wrote. So the store has one sequence of
+//! markers, and no start waits for it.
 //!
-//! An entry also notes each stream with its first event ([`StreamOrigins::begin`]), by the identifier of
-//! the attempt that began it and the client account. Records tell the versions of streams that began while the
-//! shares moved, and of take-ups under the name of a take-up. They are shared while a second version of the
-//! service is known to have served within [`STREAM_LIFE`], or while the entry's own copy of the store is old. When
-//! this begins, the streams that it noted before are shared too. Shared records go up the tree of hubs
-//! with the next exchange, and the root hub writes them to the store.
+//! A span is *announced* first. Entries go on beginning streams by the span before, and share the streams that they
+//! began. Once all of them know the announcement ([`SpanAck`]) and the store has these records, the span is
+//! *followed*: entries begin streams by it as soon as they hear of that. The span before *ends* when all
+//! entries have told that they follow the later one, and the store has what they began until then.
 //!
-//! A take-up asks up the same way, its own entry first ([`StreamOrigins::find`]). Without a record the root hub
-//! derives the version, if an entry may have died with the record since the caller first asked. It else
-//! answers with the only version that has served within [`STREAM_LIFE`], as its endpoints and the history
-//! in the store say. Otherwise the stream is unknown, and does not go on.
+//! An entry notes each stream as it begins, by the identifier of the attempt and the client account. Records are
+//! shared while a second version of the service is known to have served within [`STREAM_LIFE`], or while the
+//! entry's own copy of the store is old; when this begins, the streams that it noted before are shared too.
+//! Shared records go up the tree of hubs with the next exchange, and the root hub writes them to the
+//! store. Where the spans that have not ended disagree on a stream, its record goes up and is written at once,
+//! while the endpoint reads the prompt.
 //!
-//! # Bound
+//! A take-up asks up the same way, its own entry first ([`StreamOrigins::find`]). A record answers it. Without one
+//! the root hub reads the store, after the question came, and answers by the spans in which such a stream may
+//! have begun: those that have not ended, and those that ended after an entry was lost whose last streams may
+//! have no record. If they name one version only, the stream began there. If they name several, its
+//! version follows if all of them say the same of its identifier, and is derived if an entry was lost within
+//! [`STREAM_LIFE`]; otherwise nobody began such a stream. What callers say of their patience plays no part.
 //!
-//! A stream goes on at another version than the one that began it only if no record of it is found
-//! and
+//! # Bound
 //!
-//! * its version is derived, and
-//!   * another root hub wrote a later span less than [`MAX_DERIVED_AGE`] before, which takes a divided fleet;
-//!   * or its caller waits longer than the route keeps a request, than any caller of the service did before, or
-//!     than [`STREAM_LIFE`];
-//!   * or its caller names another attempt than the one that brought its first event;
-//!   * or the clocks of the entry that is asked and of the root hub that ended a span differ by more than 0.6 s;
-//!   * or it began at an entry that served without the marker, which an entry waits for 2 s after its first
-//!     configuration, or that reached no root hub for [`STREAM_LIFE`], and followed shares of before that;
-//! * or a second version has served, no span says so, and the root hub that answers knows of one only: its copy
-//!   of the store and of the history is at most [`MAX_SOLE_AGE`] old, so the second version was listed by
-//!   another entry less than that before; or neither the store nor an entry that it reaches knows of that
-//!   version any more;
+//! A stream goes on at another version than the one that began it only if no record of it is found, since
 //!
-//! or the entry that began it did not know the version of the endpoint, since an endpoint had returned
-//! under its name with other software.
+//! * its caller came back later than twice the patience that it stated before, and no entry has heard of it since;
+//! * or its caller names another attempt than those that brought it events;
+//! * or it began at an entry that served without the marker, which an entry waits for 2 s after its first
+//!   configuration, or that reached no root hub for [`STREAM_LIFE`];
+//! * or the store came back from an older copy, and all entries that knew of a span and of the streams that
+//!   began by it have died.
 //!
 //! Records merge by a join: one that says otherwise than another makes the stream unknown. Markers merge to one
-//! with the spans of both. So messages that are late, doubled or out of order, entries that are out of touch,
-//! and views that differ cost take-ups, but join nothing.
+//! with the spans of both. So messages that are late, doubled or out of order, entries that stand still or are out
+//! of touch, and views that differ cost take-ups, but join nothing.
 //!
-//! A take-up is refused although its version serves if the record died and the version cannot be derived: the
-//! shares moved from one version to another for this identifier while the stream may have begun, or an entry
-//! is missing that may still follow earlier ones; the store came back from an older copy since; or it has not been
-//! read for [`MAX_DERIVED_AGE`], as it is away or no root hub has started yet.
+//! A take-up is refused although its version serves if its record died with the processes that had it and the
+//! spans disagree on it, or if the store cannot be read.
 //!
 //! # Alternatives
 //!
@@ -85,7 +77,7 @@
     share_span::ShareSpan,
     span_acks::{EntryKey, SpanAck, SpanAcks},
     stream_key::StreamKey,
-    stream_origins::{MAX_DERIVED_AGE, MAX_SOLE_AGE, StreamOrigins},
+    stream_origins::StreamOrigins,
     version_history::{STREAM_LIFE, ServedVersion, VersionHistory, VersionNews},
     version_key::VersionKey,
     version_share::VersionShare,
--- a/crates/kernel/src/stream_origin/origin_answer.rs
+++ b/crates/kernel/src/stream_origin/origin_answer.rs
@@ -13,11 +13,6 @@
     pub stream: Option<StreamKey>,
     /// Services that run requests of the stream's route.
     pub services: Vec<Box<str>>,
-    /// Wall-clock time in milliseconds until which the caller waits, over all its tries; `None` if it
-    /// does not say.
-    pub waits_until_ms: Option<u64>,
-    /// Longest time in milliseconds for which the route keeps a request; callers wait as long or longer.
-    pub timeout_ms: u64,
 }
 
 /// How an entry knows the version that began a stream, or why it does not.
@@ -29,9 +24,9 @@
     Peer,
     /// The store has it.
     Store,
-    /// No other version of the service has served while the stream may have begun.
+    /// Streams without a record can have begun at this version only.
     Sole,
-    /// The stream began while the store was away, when versions followed from identifiers.
+    /// The version follows from the identifier of the stream, whose record may have died with an entry.
     Derived,
     /// Entries noted different versions.
     Conflict,
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -32,6 +32,13 @@
     pub value: Vec<u8>,
 }
 
+impl ArchiveRecord {
+    /// Reports whether the record is a marker.
+    pub fn is_marker(&self) -> bool {
+        *self.key == *MARKER_KEY
+    }
+}
+
 /// What a record of the store says.
 #[derive(Debug)]
 pub(super) enum ArchivedNews {
@@ -51,7 +58,7 @@
     position: LedgerPosition,
     batches: BTreeMap<Box<str>, u64>,
     removed: Vec<Box<str>>,
-    versions: BTreeMap<VersionKey, (u64, u64)>,
+    versions: BTreeMap<VersionKey, u64>,
     marker: Option<OriginMarker>,
 }
 
@@ -65,8 +72,8 @@
     written: LedgerPosition,
     /// Wall-clock time in milliseconds at which the last record of each batch expires.
     batches: BTreeMap<Box<str>, u64>,
-    /// End and longest patience of each version as the store has them.
-    versions: BTreeMap<VersionKey, (u64, u64)>,
+    /// End of each version as the store has it.
+    versions: BTreeMap<VersionKey, u64>,
     /// The marker that the store has.
     marker: Option<OriginMarker>,
     /// Number of batches that this entry wrote.
@@ -109,7 +116,7 @@
         if key.starts_with(VERSION_KEY) {
             let served: ServedVersion = serde_json::from_slice(value).map_err(|_| BatchError)?;
             let version = VersionKey::new(&served.service, &served.software);
-            self.versions.insert(version, (served.until_ms, served.patience_ms));
+            self.versions.insert(version, served.until_ms);
             return Ok(ArchivedNews::Version(served));
         }
         if key == MARKER_KEY {
@@ -120,6 +127,11 @@
         Ok(ArchivedNews::Nothing)
     }
 
+    /// Reports whether one write holds all records that the store lacks.
+    pub(super) fn fits(&self, ledger: &OriginLedger) -> bool {
+        ledger.shared_since(self.written).position == ledger.position()
+    }
+
     /// Returns the records to write so that the store has all that this entry knows; empty if it
     /// lacks nothing. `writer` is unique for the run of the process; `marker` is what the store should have.
     pub(super) fn pending(
@@ -133,9 +145,8 @@
         let mut pending = PendingWrite { position: self.written, ..PendingWrite::default() };
         let mut records = Vec::new();
         for (key, served) in history.rows() {
-            let end = (served.until_ms, served.patience_ms);
-            if self.versions.get(&key) != Some(&end) {
-                pending.versions.insert(key, end);
+            if self.versions.get(&key) != Some(&served.until_ms) {
+                pending.versions.insert(key, served.until_ms);
                 let value = serde_json::json!(served).to_string().into_bytes();
                 let key = format!("{VERSION_KEY}{:016x}", key.0).into();
                 records.push(ArchiveRecord { key, value });
--- a/crates/kernel/src/stream_origin/origin_ledger.rs
+++ b/crates/kernel/src/stream_origin/origin_ledger.rs
@@ -95,6 +95,11 @@
         })
     }
 
+    /// Returns the record of a stream, if there is one.
+    pub fn record(&self, stream: StreamKey) -> Option<OriginRecord> {
+        self.rows.get(&stream).map(|row| row.record)
+    }
+
     /// Drops the records of streams that no caller waits for.
     pub fn expire(&mut self, wall_ms: u64) {
         let now_s = (wall_ms / 1_000) as u32;
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -15,6 +15,10 @@
 /// Maximum number of spans of one service; older ones are taken together.
 const MAX_SPANS: usize = 32;
 
+/// Time after which a span is followed although not all entries know that it was announced, in milliseconds.
+/// An entry that has ended counts as present for two seconds.
+const MAX_NOTICE_MS: u64 = 1_000;
+
 /// Facts of the fleet that go into a marker.
 #[derive(Clone, Debug, Default)]
 pub struct MarkerInput {
@@ -47,28 +51,32 @@
     pub era: u64,
     /// Entries that reported lately.
     pub entries: BTreeMap<EntryKey, MarkedEntry>,
-    /// Wall-clock time in milliseconds at which an entry was last missed or known to have ended.
+    /// Wall-clock time in milliseconds at which the process of an entry was last known to have ended; 0 if
+    /// none has while a caller may have waited for its streams.
     pub lost_ms: u64,
     /// Spans of all services, the newest of each service last.
     pub spans: Vec<ShareSpan>,
 }
 
 impl OriginMarker {
-    /// Returns the beginning of the newest span, 0 if there is none.
+    /// Returns the time of the newest span or of its being followed, 0 if there is none.
     pub(super) fn newest_ms(&self) -> u64 {
-        self.spans.iter().map(|span| span.since_ms).max().unwrap_or(0)
+        self.spans.iter().map(ShareSpan::known_ms).max().unwrap_or(0)
     }
 
     /// Adds what another marker says.
     pub(super) fn join(&mut self, other: &OriginMarker) {
+        let is_newer = other.written_ms > self.written_ms;
         self.written_ms = self.written_ms.max(other.written_ms);
         self.era = self.era.max(other.era);
         self.lost_ms = self.lost_ms.max(other.lost_ms);
         for (entry, marked) in &other.entries {
             let known = self.entries.entry(*entry).or_insert(*marked);
             known.run = known.run.max(marked.run);
-            known.is_missing |= marked.is_missing;
             known.until_ms = known.until_ms.max(marked.until_ms);
+            if is_newer {
+                known.is_missing = marked.is_missing;
+            }
         }
         for span in &other.spans {
             let is_same = |known: &&mut ShareSpan| {
@@ -76,7 +84,7 @@
                     == (&span.service, span.since_ms, &span.shares)
             };
             match self.spans.iter_mut().find(is_same) {
-                Some(known) => known.until_ms = known.until_ms.max(span.until_ms),
+                Some(known) => known.join(span),
                 None => self.spans.push(span.clone()),
             }
         }
@@ -84,7 +92,16 @@
     }
 
     /// Returns what is to be written at `wall_ms` in place of this marker, given what the entries know.
-    pub(super) fn next(&self, wall_ms: u64, ack: &SpanAck, input: &MarkerInput) -> OriginMarker {
+    ///
+    /// `is_complete` tells whether the store has, or gets with the marker, all records that the entries have
+    /// reported.
+    pub(super) fn next(
+        &self,
+        wall_ms: u64,
+        ack: &SpanAck,
+        input: &MarkerInput,
+        is_complete: bool,
+    ) -> OriginMarker {
         let mut next = self.clone();
         next.note_entries(wall_ms, ack);
         if next.era < input.era {
@@ -94,22 +111,67 @@
             next.era = input.era;
         }
         for (service, shares) in &input.shares {
-            match next.current(service) {
-                Some(current) if are_alike(&current.shares, shares) => {}
-                Some(_) => next.open(wall_ms, service, shares),
-                None => {
-                    next.open(wall_ms, service, &[]);
-                    next.open(wall_ms, service, shares);
-                }
-            }
+            next.note_shares(wall_ms, service, shares);
         }
-        if next.entries.values().all(|entry| !entry.is_missing) {
-            next.close(wall_ms, ack.known_ms);
+        if is_complete {
+            next.follow(wall_ms, ack.known_ms);
+            if next.entries.values().all(|entry| !entry.is_missing) {
+                next.end_spans(wall_ms, ack.known_ms);
+            }
         }
         next.forget(wall_ms);
         next
     }
 
+    /// Notes the shares by which streams of `service` should begin.
+    fn note_shares(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) {
+        let Some(current) = self.current(service) else {
+            self.open(wall_ms, service, &[]);
+            self.open(wall_ms, service, shares);
+            return;
+        };
+        let is_current = are_alike(&current.shares, shares);
+        let mut is_announced = false;
+        for span in &mut self.spans {
+            let is_open = span.is_announced && span.until_ms.is_none();
+            if !is_open || *span.service != *service {
+                continue;
+            }
+            match !is_current && are_alike(&span.shares, shares) {
+                true => is_announced = true,
+                // Nobody has followed it.
+                false => span.until_ms = Some(wall_ms),
+            }
+        }
+        if !is_current && !is_announced {
+            self.open(wall_ms, service, shares).is_announced = true;
+        }
+    }
+
+    /// Lets entries follow the spans that all of them know, whose records the store has, or that were
+    /// announced long enough ago.
+    fn follow(&mut self, wall_ms: u64, known_ms: u64) {
+        let mut followed_ms = wall_ms.max(self.newest_ms() + 1);
+        for span in &mut self.spans {
+            let is_open = span.is_announced && span.until_ms.is_none();
+            let is_due = span.since_ms <= known_ms || span.since_ms + MAX_NOTICE_MS <= wall_ms;
+            if is_open && is_due {
+                span.is_announced = false;
+                span.followed_ms = followed_ms;
+                followed_ms += 1;
+            }
+        }
+    }
+
+    /// Reports whether a span waits to be followed, or an earlier one to end.
+    pub fn is_unsettled(&self) -> bool {
+        let open = |service: &str| {
+            let of_service = self.spans.iter().filter(|span| *span.service == *service);
+            of_service.filter(|span| span.until_ms.is_none()).count()
+        };
+        self.services().iter().any(|service| open(service) > 1)
+    }
+
     /// Returns the services, in order.
     pub fn services(&self) -> Vec<Box<str>> {
         let mut services: Vec<_> = self.spans.iter().map(|span| span.service.clone()).collect();
@@ -121,7 +183,36 @@
     /// Returns the span by which streams of `service` begin now.
     fn current(&self, service: &str) -> Option<&ShareSpan> {
         let mut of_service = self.spans.iter().rev().filter(|span| *span.service == *service);
-        of_service.find(|span| !span.shares.is_empty())
+        of_service.find(|span| !span.shares.is_empty() && !span.is_announced)
+    }
+
+    /// Returns the services whose streams may begin at several versions, or are about to.
+    pub(super) fn mixed_services(&self) -> Vec<Box<str>> {
+        let is_mixed = |service: &str| {
+            let open = self.spans.iter().filter(|span| span.until_ms.is_none());
+            let mut versions = open
+                .filter(|span| *span.service == *service)
+                .flat_map(|span| span.shares.iter().map(|share| &share.software));
+            let first = versions.next();
+            versions.any(|version| Some(version) != first)
+        };
+        self.services().into_iter().filter(|service| is_mixed(service)).collect()
+    }
+
+    /// Returns the spans of `service` in which a stream without a record may have begun.
+    fn possible<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ShareSpan> {
+        self.spans.iter().filter(move |span| *span.service == *service && span.may_have_begun())
+    }
+
+    /// Reports whether the store must have a record of `stream` at once, as its version does not follow from
+    /// its identifier.
+    pub(super) fn needs_record(&self, service: &str, stream: StreamKey) -> bool {
+        let announced = self.spans.iter().filter(|span| {
+            *span.service == *service && span.is_announced && span.until_ms.is_none()
+        });
+        let mut versions = self.possible(service).chain(announced).map(|span| span.version(stream));
+        let first = versions.next().flatten();
+        first.is_none() || versions.any(|version| version != first)
     }
 
     /// Notes which entries report, and which of them have ended or are missing.
@@ -138,24 +229,30 @@
             let until_ms = if is_old { new_ms } else { marked.until_ms };
             *marked = MarkedEntry { until_ms, ..new };
         }
+        let known = self.entries.len();
         self.entries.retain(|_, marked| marked.until_ms > wall_ms);
+        if self.entries.len() < known {
+            self.lost_ms = wall_ms;
+        }
         for (entry, marked) in &mut self.entries {
-            if !ack.entries.contains_key(entry) && !marked.is_missing {
-                marked.is_missing = true;
-                self.lost_ms = wall_ms;
-            }
+            marked.is_missing |= !ack.entries.contains_key(entry);
+        }
+        let life_ms = STREAM_LIFE.as_millis() as u64;
+        if self.lost_ms + life_ms <= wall_ms {
+            self.lost_ms = 0;
         }
     }
 
-    /// Reports whether an entry may have begun a stream whose caller first asked at `asked_ms`, and have
-    /// died with the record of it.
-    pub(super) fn may_lack_record(&self, asked_ms: u64) -> bool {
-        self.lost_ms >= asked_ms || self.entries.values().any(|entry| entry.is_missing)
+    /// Reports whether an entry may have begun a stream for which a caller still waits, and have died with the
+    /// record of it.
+    fn may_lack_record(&self) -> bool {
+        self.lost_ms > 0 || self.entries.values().any(|entry| entry.is_missing)
     }
 
-    fn open(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) {
+    fn open(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) -> &mut ShareSpan {
         let since_ms = wall_ms.max(self.newest_ms() + 1);
         self.spans.push(ShareSpan::new(service, since_ms, shares));
+        self.spans.last_mut().expect("a span was just added")
     }
 
     /// Begins the current span anew, after one in which streams may have begun at any version.
@@ -165,16 +262,19 @@
         self.open(wall_ms, service, &shares);
     }
 
-    /// Ends the spans that no entry follows if all know those that began until `known_ms`.
-    fn close(&mut self, wall_ms: u64, known_ms: u64) {
+    /// Ends the spans that no entry follows any more, as all know a later one that was followed by `known_ms`.
+    fn end_spans(&mut self, wall_ms: u64, known_ms: u64) {
         let mut newest: BTreeMap<Box<str>, u64> = BTreeMap::new();
-        let known = self.spans.iter().filter(|span| span.since_ms <= known_ms);
-        for span in known.filter(|span| !span.shares.is_empty()) {
-            newest.insert(span.service.clone(), span.since_ms);
+        for span in self.spans.iter().filter(|span| !span.is_announced && !span.shares.is_empty()) {
+            if span.known_ms() <= known_ms {
+                newest.insert(span.service.clone(), span.since_ms);
+            }
         }
         for span in self.spans.iter_mut().filter(|span| span.until_ms.is_none()) {
             if newest.get(&span.service).is_some_and(|since_ms| span.since_ms < *since_ms) {
                 span.until_ms = Some(wall_ms);
+                // What the entries that report began in it has a record.
+                span.lacks_records = self.lost_ms >= span.since_ms;
             }
         }
     }
@@ -193,6 +293,8 @@
                 let next = next.expect("there are more than one");
                 next.shares.clear();
                 next.until_ms = ended.until_ms.and(next.until_ms);
+                next.lacks_records |= ended.lacks_records;
+                next.is_announced &= ended.is_announced;
             }
         }
     }
@@ -202,21 +304,46 @@
         self.current(service)?.version(stream)
     }
 
-    /// Returns the version of `service` that began `stream`, of which there is no record, and whose caller
-    /// first asked at `asked_ms`; `None` if it may have begun at several, or if there was no such stream.
+    /// Returns the only version of `service` at which streams without a record may have begun; `any` is the
+    /// only one that has served, if there was one only.
+    pub(super) fn sole_version(
+        &self,
+        service: &str,
+        any: Option<VersionKey>,
+    ) -> Option<VersionKey> {
+        let mut versions = Vec::new();
+        for span in self.possible(service) {
+            match span.shares.is_empty() {
+                true => versions.push(any),
+                false => versions.extend(
+                    span.shares.iter().map(|share| Some(VersionKey::new(service, &share.software))),
+                ),
+            }
+        }
+        if self.current(service).is_none() {
+            versions.push(any);
+        }
+        let first = versions.first().copied().flatten()?;
+        versions.iter().all(|version| *version == Some(first)).then_some(first)
+    }
+
+    /// Returns the version of `service` that began `stream`, of which there is no record; `None` if it may have
+    /// begun at several, or if there was no such stream. `any` is the only version that has served, if there
+    /// was one only.
     pub(super) fn derived_version(
         &self,
         service: &str,
         stream: StreamKey,
-        asked_ms: u64,
+        any: Option<VersionKey>,
     ) -> Option<VersionKey> {
-        if !self.may_lack_record(asked_ms) {
+        if !self.may_lack_record() {
             return None;
         }
-        let of_service = self.spans.iter().filter(|span| *span.service == *service);
-        let mut versions = of_service
-            .filter(|span| span.may_have_begun(asked_ms))
-            .map(|span| span.version(stream));
+        let version = |span: &ShareSpan| match span.shares.is_empty() {
+            true => any,
+            false => span.version(stream),
+        };
+        let mut versions = self.possible(service).map(version);
         let first = versions.next()??;
         versions.all(|version| version == Some(first)).then_some(first)
     }
--- a/crates/kernel/src/stream_origin/share_span.rs
+++ b/crates/kernel/src/stream_origin/share_span.rs
@@ -4,10 +4,10 @@
 
 use crate::stream_origin::{StreamKey, VersionKey, VersionShare, version_share::pick};
 
-/// Difference of the clocks of two processes at most, in milliseconds.
-const CLOCK_MARGIN_MS: u64 = 600;
-
 /// The shares by which the streams of a service begin, and when.
+///
+/// A span is announced first, and entries begin streams by it once it is followed. It ends when every entry
+/// follows a later one, and has told its hub of all streams that it began before.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareSpan {
     /// The service.
@@ -15,9 +15,20 @@
     /// Wall-clock time in milliseconds since 1970 at which the span was first written; spans of one
     /// service have different ones.
     pub since_ms: u64,
-    /// Wall-clock time in milliseconds at which all entries were known to begin streams by later shares;
-    /// `None` if an entry may still begin streams by these.
+    /// Whether no entry follows the span yet.
+    #[serde(default)]
+    pub is_announced: bool,
+    /// Wall-clock time in milliseconds from which on entries follow the span, as it was written; 0 if it was
+    /// never announced.
+    #[serde(default)]
+    pub followed_ms: u64,
+    /// Wall-clock time in milliseconds at which the span ended; `None` if an entry may still begin streams
+    /// by it.
+    #[serde(rename = "ended_ms")]
     pub until_ms: Option<u64>,
+    /// Whether streams that began in the span may have no record, as an entry was lost before it ended.
+    #[serde(default)]
+    pub lacks_records: bool,
     /// The shares, in the order of versions; empty if streams may have begun at any version.
     pub shares: Vec<VersionShare>,
 }
@@ -25,7 +36,28 @@
 impl ShareSpan {
     /// Returns a span that begins at `since_ms`.
     pub(super) fn new(service: &str, since_ms: u64, shares: &[VersionShare]) -> ShareSpan {
-        ShareSpan { service: service.into(), since_ms, until_ms: None, shares: shares.to_vec() }
+        ShareSpan {
+            service: service.into(),
+            since_ms,
+            is_announced: false,
+            followed_ms: 0,
+            until_ms: None,
+            lacks_records: false,
+            shares: shares.to_vec(),
+        }
+    }
+
+    /// Adds what another marker says of the same span.
+    pub(super) fn join(&mut self, other: &ShareSpan) {
+        self.is_announced &= other.is_announced;
+        self.followed_ms = self.followed_ms.max(other.followed_ms);
+        self.until_ms = self.until_ms.max(other.until_ms);
+        self.lacks_records |= other.lacks_records;
+    }
+
+    /// Returns the time that an entry which knows the span in its present state has reached.
+    pub(super) fn known_ms(&self) -> u64 {
+        self.since_ms.max(self.followed_ms)
     }
 
     /// Returns the version at which `stream` begins by these shares; `None` if at any.
@@ -33,9 +65,8 @@
         pick(&self.service, &self.shares, stream)
     }
 
-    /// Reports whether a stream whose caller first asked at the wall-clock time `asked_ms` may have begun by
-    /// these shares.
-    pub(super) fn may_have_begun(&self, asked_ms: u64) -> bool {
-        self.until_ms.is_none_or(|until_ms| until_ms + CLOCK_MARGIN_MS >= asked_ms)
+    /// Reports whether a stream without a record may have begun in the span.
+    pub(super) fn may_have_begun(&self) -> bool {
+        !self.is_announced && (self.until_ms.is_none() || self.lacks_records)
     }
 }
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -10,20 +10,14 @@
         ArchiveRecord, BatchError, EntryKey, MarkerInput, OriginAnswer, OriginArchive, OriginDelta,
         OriginEvidence, OriginLedger, OriginMarker, OriginQuestion, OriginRecord, STREAM_LIFE,
         ServedVersion, SpanAck, SpanAcks, StreamKey, VersionHistory, VersionKey, VersionNews,
-        origin_archive::ArchivedNews,
+        VersionShare, origin_archive::ArchivedNews, version_share::pick,
     },
     suspect::LedgerPosition,
     time::TimePoint,
 };
 
-/// Age of an entry's copy of the store up to which the entry says that a service has one version.
-pub const MAX_SOLE_AGE: Duration = Duration::from_secs(3);
-
-/// Time since the last read of the shares by which streams began up to which an entry derives versions.
-pub const MAX_DERIVED_AGE: Duration = Duration::from_secs(1);
-
-/// Age of an entry's copy of the store from which on it shares all streams that it begins. It is
-/// shorter than [`MAX_SOLE_AGE`], so that the records are there when they are needed.
+/// Age of an entry's copy of the store from which on it shares all streams that it begins, as no version
+/// follows without the store.
 const SHARING_AGE: Duration = Duration::from_millis(1_500);
 
 /// Time for which a record is kept after its caller has stopped waiting.
@@ -109,7 +103,11 @@
 
     /// Returns the services that have several versions.
     pub fn mixed_services(&self) -> Vec<Box<str>> {
-        self.history.mixed_services()
+        let mut mixed = self.history.mixed_services();
+        mixed.extend(self.marker.mixed_services());
+        mixed.sort();
+        mixed.dedup();
+        mixed
     }
 
     /// Shares the streams that were noted before there was a reason to.
@@ -125,6 +123,29 @@
         self.shared_services = mixed;
     }
 
+    /// Notes that `stream` begins, and returns the version at which it must, which follows from its identifier by
+    /// the shares that the fleet follows, or, if it follows none yet, by those that are `listed`.
+    ///
+    /// The record is kept until the wall-clock time `until_ms`. The second value tells whether other entries
+    /// must have the record at once.
+    pub fn begin_at(
+        &mut self,
+        now: TimePoint,
+        service: &str,
+        stream: StreamKey,
+        until_ms: u64,
+        listed: &[VersionShare],
+    ) -> (Option<VersionKey>, bool) {
+        let version = self.marker.begin_version(service, stream);
+        let Some(version) = version.or_else(|| pick(service, listed, stream)) else {
+            return (None, false);
+        };
+        let needs_record = self.marker.needs_record(service, stream);
+        let shares = needs_record || self.is_stale || self.shared_services.contains(service);
+        self.note(now, stream, Some(version), until_ms, shares);
+        (Some(version), needs_record)
+    }
+
     /// Returns the version at which `stream` must begin, which follows from its identifier; `None` if it
     /// may begin at any.
     pub fn begin_version(&self, service: &str, stream: StreamKey) -> Option<VersionKey> {
@@ -159,6 +180,11 @@
         ack
     }
 
+    /// Reports whether a span waits to be followed, or an earlier one to end.
+    pub fn is_unsettled(&self) -> bool {
+        self.marker.is_unsettled()
+    }
+
     /// Reports whether this entry knows the marker that the fleet knows, or that there is none.
     pub fn knows_marker(&self) -> bool {
         self.knows_marker
@@ -173,17 +199,12 @@
     pub fn merge_marker(&mut self, marker: Option<&OriginMarker>) {
         if let Some(marker) = marker {
             self.marker.join(marker);
+            self.update_sharing();
         }
     }
 
-    /// Notes how long a caller of a stream waits, over all its tries, when it first asks.
-    pub fn note_patience(&mut self, service: &str, software: &str, patience: Duration) {
-        let key = VersionKey::new(service, software);
-        self.history.note_patience(key, patience.as_millis() as u64);
-    }
-
     /// Notes that the caller of `stream` gets its first event from the version `software` of
-    /// `service`, and that it waits until the wall-clock time `until_ms` at most.
+    /// `service`. The record is kept until the wall-clock time `until_ms`.
     ///
     /// `is_split` tells whether several services run requests of the stream's route.
     pub fn begin(
@@ -197,54 +218,70 @@
     ) {
         let version = Some(VersionKey::new(service, software));
         let shares = is_split || self.is_stale || self.shared_services.contains(service);
-        let expires_s = (until_ms + EXPIRY_MARGIN.as_millis() as u64).div_ceil(1_000) as u32;
+        self.note(now, stream, version, until_ms, shares);
+    }
+
+    fn note(
+        &mut self,
+        now: TimePoint,
+        stream: StreamKey,
+        version: Option<VersionKey>,
+        until_ms: u64,
+        shares: bool,
+    ) {
+        let until_ms = until_ms.saturating_add(EXPIRY_MARGIN.as_millis() as u64);
+        let expires_s = u32::try_from(until_ms.div_ceil(1_000)).unwrap_or(u32::MAX);
         let record = OriginRecord { stream, version, expires_s };
         self.ledger.merge(now, record, OriginEvidence::Own, shares);
     }
 
-    /// Returns the version that began a stream, as far as this entry knows; `store_age` is the age
-    /// of its copy of the store.
+    /// Returns the version that began a stream, as far as this entry knows, for a question that came at
+    /// `asked_at`.
+    ///
+    /// A record may be of any age. Without one the version follows from the spans in the store, if they were
+    /// read after the question came: what another entry has begun by then, it began by one of them.
+    /// `listed_at` is the time at which the list of endpoints matched the store.
     pub fn find(
         &self,
         now: TimePoint,
-        store_age: Duration,
+        asked_at: TimePoint,
+        listed_at: TimePoint,
         question: &OriginQuestion,
     ) -> OriginAnswer {
         let found = question.stream.and_then(|stream| self.ledger.find(now, stream));
         if let Some(answer) = found {
             return answer;
         }
-        if !self.is_read(now) {
-            return OriginAnswer::without(OriginEvidence::Incomplete, store_age);
-        }
-        let sole = || match question.services.as_slice() {
-            [service] if store_age <= MAX_SOLE_AGE => self.history.sole(service),
-            _ => None,
+        let read_at = self.archive.read_at().filter(|at| *at >= asked_at);
+        let Some(read_at) = read_at else {
+            return OriginAnswer::without(OriginEvidence::Incomplete, Duration::ZERO);
         };
-        let derived = self.derive(now, question).map(|version| (version, OriginEvidence::Derived));
-        match derived.or_else(|| Some((sole()?, OriginEvidence::Sole))) {
-            Some((version, evidence)) => {
-                OriginAnswer { version: Some(version), evidence, age: store_age }
-            }
-            None => OriginAnswer::without(OriginEvidence::Unknown, store_age),
+        let age = now.since(read_at);
+        match self.derive(listed_at >= asked_at, question) {
+            Some((version, evidence)) => OriginAnswer { version: Some(version), evidence, age },
+            None => OriginAnswer::without(OriginEvidence::Unknown, age),
         }
     }
 
-    /// Returns the version that follows from the identifier of a stream, if it is the same by all shares by
-    /// which the stream may have begun.
-    fn derive(&self, now: TimePoint, question: &OriginQuestion) -> Option<VersionKey> {
-        self.archive.read_at().filter(|at| now.since(*at) <= MAX_DERIVED_AGE)?;
-        let ([service], Some(stream)) = (question.services.as_slice(), question.stream) else {
-            return None;
-        };
-        let patience_ms = self.history.patience_ms(service).max(question.timeout_ms);
-        let asked_ms = question.waits_until_ms?.checked_sub(patience_ms)?;
-        self.marker.derived_version(service, stream, asked_ms)
+    /// Returns the version that follows from the spans in which a stream without a record may have begun.
+    fn derive(
+        &self,
+        is_list_current: bool,
+        question: &OriginQuestion,
+    ) -> Option<(VersionKey, OriginEvidence)> {
+        let [service] = question.services.as_slice() else { return None };
+        let any = self.history.sole(service).filter(|_| is_list_current);
+        if let Some(version) = self.marker.sole_version(service, any) {
+            return Some((version, OriginEvidence::Sole));
+        }
+        let version = self.marker.derived_version(service, question.stream?, any)?;
+        Some((version, OriginEvidence::Derived))
     }
 
-    /// Returns the longest time from now that a caller counts as waiting for a stream.
-    pub fn waiting_time(stated: Duration) -> Duration {
-        stated.min(STREAM_LIFE)
+    /// Returns the time after which a caller that states `patience` no longer asks for its stream, as long as
+    /// each of its tries begins within the patience of the one before.
+    pub fn waiting_time(patience: Duration) -> Duration {
+        (2 * patience.min(STREAM_LIFE)).min(STREAM_LIFE)
     }
 
     /// Returns the version with this key, if it is known.
@@ -262,6 +299,11 @@
         self.ledger.is_empty()
     }
 
+    /// Reports whether all that was shared up to now comes before `position`.
+    pub fn is_whole(&self, position: LedgerPosition) -> bool {
+        position == self.ledger.position()
+    }
+
     /// Returns the records that were shared after `seen`, a position that a hub has reached.
     pub fn shared_since(&self, seen: LedgerPosition) -> OriginDelta {
         self.ledger.shared_since(seen)
@@ -274,11 +316,21 @@
 
     /// Merges the records of another entry.
     pub fn merge(&mut self, now: TimePoint, delta: &OriginDelta) {
-        for record in &delta.records {
+        self.merge_records(now, &delta.records);
+    }
+
+    /// Merges records that another entry passed on at once.
+    pub fn merge_records(&mut self, now: TimePoint, records: &[OriginRecord]) {
+        for record in records {
             self.ledger.merge(now, *record, OriginEvidence::Peer, true);
         }
     }
 
+    /// Returns the record of a stream, if there is one.
+    pub fn record(&self, stream: StreamKey) -> Option<OriginRecord> {
+        self.ledger.record(stream)
+    }
+
     /// Merges a record of the store.
     ///
     /// # Errors
@@ -303,11 +355,6 @@
         Ok(())
     }
 
-    /// Reports whether this entry knows what the store had [`MAX_SOLE_AGE`] ago.
-    pub fn is_read(&self, now: TimePoint) -> bool {
-        self.archive.read_at().is_some_and(|at| now.since(at) <= MAX_SOLE_AGE)
-    }
-
     /// Returns the time at which everything in the store was last read; `None` if it was not read
     /// since this entry began to write.
     pub fn read_at(&self) -> Option<TimePoint> {
@@ -342,7 +389,7 @@
         input: &MarkerInput,
     ) -> Vec<ArchiveRecord> {
         let ack = self.acks.group(now, self.marker.newest_ms());
-        let marker = self.marker.next(wall_ms, &ack, input);
+        let marker = self.marker.next(wall_ms, &ack, input, self.archive.fits(&self.ledger));
         self.archive.pending(wall_ms, writer, &self.ledger, &self.history, marker)
     }
 
--- a/crates/kernel/src/stream_origin/version_history.rs
+++ b/crates/kernel/src/stream_origin/version_history.rs
@@ -21,9 +21,6 @@
     pub software: Box<str>,
     /// Wall-clock time in milliseconds since 1970 until which streams that it began may go on.
     pub until_ms: u64,
-    /// Longest time in milliseconds that a caller of one of its streams said it waits.
-    #[serde(default)]
-    pub patience_ms: u64,
 }
 
 /// The versions that an entry tells another one of.
@@ -52,20 +49,7 @@
         let step = (wall_ms / RENEWAL_STEP_MS + 1) * RENEWAL_STEP_MS;
         let until_ms = step + STREAM_LIFE.as_millis() as u64;
         let (service, software) = (service.into(), software.into());
-        self.merge(&ServedVersion { service, software, until_ms, patience_ms: 0 });
-    }
-
-    /// Notes how long a caller of a stream of a version waits.
-    pub fn note_patience(&mut self, key: VersionKey, patience_ms: u64) {
-        if let Some(row) = self.rows.get_mut(&key) {
-            row.patience_ms = row.patience_ms.max(patience_ms);
-        }
-    }
-
-    /// Returns the longest time in milliseconds that a caller of `service` said it waits.
-    pub fn patience_ms(&self, service: &str) -> u64 {
-        let of_service = self.rows.values().filter(|row| *row.service == *service);
-        of_service.map(|row| row.patience_ms).max().unwrap_or(0)
+        self.merge(&ServedVersion { service, software, until_ms });
     }
 
     /// Merges what another process knew of a version.
@@ -73,7 +57,6 @@
         let key = VersionKey::new(&served.service, &served.software);
         let row = self.rows.entry(key).or_insert_with(|| served.clone());
         row.until_ms = row.until_ms.max(served.until_ms);
-        row.patience_ms = row.patience_ms.max(served.patience_ms);
     }
 
     /// Drops the versions whose streams no caller waits for at `wall_ms`.
@@ -83,9 +66,7 @@
 
     /// Returns a digest that histories with the same versions share.
     pub fn digest(&self) -> u64 {
-        self.rows
-            .iter()
-            .fold(0, |digest, (key, row)| digest ^ mix(key.0, mix(row.until_ms, row.patience_ms)))
+        self.rows.iter().fold(0, |digest, (key, row)| digest ^ mix(key.0, row.until_ms))
     }
 
     /// Returns what an entry lacks whose history has the digest `known`.
--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -11,16 +11,14 @@
 }
 
 fn check(plan: OriginPlan, seeds: std::ops::Range<u64>) {
-    let (mut went_on, mut excepted) = (0, 0);
+    let mut went_on = 0;
     for seed in seeds {
         let mut fleet = OriginFleet::new(plan, seed);
         fleet.play();
         assert!(fleet.violations.is_empty(), "seed {seed}: {:#?}", fleet.violations);
         went_on += fleet.take_ups.went_on;
-        excepted += fleet.excepted;
     }
-    // What the bound excepts takes several faults at once.
-    assert!(100 * excepted <= went_on, "{excepted} exceptions, {went_on} went on");
+    assert!(went_on > 0, "no take-up went on");
 }
 
 #[test]
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -7,8 +7,8 @@
 
 use pimentorock_kernel::{
     stream_origin::{
-        MAX_DERIVED_AGE, MAX_SOLE_AGE, MarkerInput, OriginAnswer, OriginDelta, OriginEvidence,
-        OriginQuestion, StreamKey, VersionKey, VersionShare,
+        MarkerInput, OriginAnswer, OriginDelta, OriginQuestion, OriginRecord, StreamKey,
+        StreamOrigins, VersionKey, VersionShare,
     },
     time::TimePoint,
 };
@@ -78,10 +78,8 @@
     tick: u64,
     entries: Vec<SimulatedEntry>,
     store: SimulatedStore,
-    /// Versions whose endpoints serve, and the time at which the store last began to list each
-    /// version.
+    /// Versions whose endpoints serve.
     serving: BTreeSet<&'static str>,
-    listed_since: BTreeMap<&'static str, TimePoint>,
     /// Slots of each version's endpoints, 64 if it is missing.
     slots: BTreeMap<&'static str, u32>,
     streams: Vec<SimulatedStream>,
@@ -91,10 +89,8 @@
     away_until: u64,
     incarnations: u64,
     pub take_ups: TakeUps,
-    /// Streams that went on at another version, although the bound does not allow it.
+    /// Streams that went on at another version.
     pub violations: Vec<String>,
-    /// Streams that went on at another version as the bound allows.
-    pub excepted: usize,
 }
 
 impl OriginFleet {
@@ -114,7 +110,6 @@
             entries,
             store: SimulatedStore::default(),
             serving: BTreeSet::from(["a"]),
-            listed_since: BTreeMap::new(),
             slots: BTreeMap::new(),
             streams: Vec::new(),
             late_reports: Vec::new(),
@@ -123,7 +118,6 @@
             incarnations: plan.entries as u64 + 1,
             take_ups: TakeUps::default(),
             violations: Vec::new(),
-            excepted: 0,
         };
         fleet.list_endpoints();
         fleet
@@ -246,9 +240,6 @@
     }
 
     fn list_endpoints(&mut self) {
-        for version in self.serving.difference(&self.store.listed) {
-            self.listed_since.insert(version, self.now);
-        }
         self.store.listed = self.serving.clone();
     }
 
@@ -358,14 +349,13 @@
 
     fn write(&mut self, index: usize) {
         let is_lost = self.draw(self.plan.lost_answers);
-        let (now, entry) = (self.now, &mut self.entries[index]);
-        entry.note_era(self.store.era);
-        if entry.origins.read_at().is_none_or(|at| now.since(at) >= READ_PERIOD) {
-            for (key, value) in &self.store.records {
-                entry.origins.take_archived(now, key, value).unwrap();
-            }
-            entry.origins.note_read(now);
+        let now = self.now;
+        let read_at = self.entries[index].origins.read_at();
+        if read_at.is_none_or(|at| now.since(at) >= READ_PERIOD) {
+            self.read(index);
         }
+        let entry = &mut self.entries[index];
+        entry.note_era(self.store.era);
         let slots = &self.slots;
         let share = |version: &&str| VersionShare {
             software: (*version).into(),
@@ -376,12 +366,32 @@
         let input = MarkerInput { era: entry.era, shares: shares.into_iter().collect() };
         let writer = entry.incarnation.to_string();
         let records = entry.origins.pending(now, entry.wall_ms(now), &writer, &input);
-        self.store.append(now, records);
+        let has_marker = records.iter().any(|record| record.is_marker());
+        if has_marker && entry.read_revision != self.store.revision {
+            // Another entry has written since; the next write comes after a read.
+            self.read(index);
+            return;
+        }
+        self.store.append(records);
         if !is_lost {
+            entry.read_revision = self.store.revision;
             entry.origins.note_written();
         }
     }
 
+    /// Lets an entry read all that the store has.
+    fn read(&mut self, index: usize) {
+        let (now, entry) = (self.now, &mut self.entries[index]);
+        entry.note_era(self.store.era);
+        if entry.read_revision != self.store.revision || entry.origins.read_at().is_none() {
+            for (key, value) in &self.store.records {
+                entry.origins.take_archived(now, key, value).unwrap();
+            }
+        }
+        entry.read_revision = self.store.revision;
+        entry.origins.note_read(now);
+    }
+
     /// Returns an entry that serves callers.
     fn serving_entry(&mut self) -> Option<usize> {
         let index = self.below(self.entries.len());
@@ -400,29 +410,49 @@
                 continue;
             }
             let key = StreamKey(self.random.random());
-            let entry = &mut self.entries[index];
-            let version = match entry.origins.begin_version(SERVICE, key) {
-                None => Some(choices[self.below(choices.len())]),
-                Some(begun) => {
-                    let is_begun = |version: &&&str| VersionKey::new(SERVICE, version) == begun;
-                    choices.iter().find(is_begun).copied()
-                }
-            };
-            let Some(version) = version else { continue };
             // Most callers wait as long, some less.
             let waited = if self.draw(800) { PATIENCE_TICKS } else { PATIENCE_TICKS / 2 };
             let ends_at = self.tick + waited;
-            let patience = TICK * waited as u32;
-            self.entries[index].origins.note_patience(SERVICE, version, patience);
+            let until_ms = self.kept_until_ms(index, ends_at);
+            let slots = |version: &&str| self.slots.get(version).copied().unwrap_or(64);
+            let share = |version: &&'static str| VersionShare {
+                software: (*version).into(),
+                slots: slots(version),
+            };
+            let listed: Vec<_> = self.entries[index].listed.iter().map(share).collect();
+            let (now, entry) = (self.now, &mut self.entries[index]);
+            let (begun, is_urgent) = entry.origins.begin_at(now, SERVICE, key, until_ms, &listed);
+            let record = entry.origins.record(key).filter(|_| is_urgent);
+            let is_begun = |version: &&&str| Some(VersionKey::new(SERVICE, version)) == begun;
+            let Some(version) = choices.iter().find(is_begun).copied() else { continue };
+            record.iter().for_each(|record| self.pass_on(index, *record));
             self.note_begun(index, key, version, ends_at);
             let at = Some((index, self.entries[index].incarnation));
             self.streams.push(SimulatedStream { key, version, at, retry_at: 0, tries: 0, ends_at });
         }
     }
 
+    /// Passes a record on to the hubs at once; the root hub writes it before the tick ends.
+    fn pass_on(&mut self, index: usize, record: OriginRecord) {
+        match self.hub(index) {
+            Some(hub) => {
+                self.entries[hub].origins.merge_records(self.now, &[record]);
+                self.pass_on(hub, record);
+            }
+            None if self.reaches_store(index) => self.write(index),
+            None => {}
+        }
+    }
+
+    fn kept_until_ms(&self, index: usize, ends_at: u64) -> u64 {
+        let patience = TICK * (ends_at - self.tick) as u32;
+        let waiting = StreamOrigins::waiting_time(patience).as_millis() as u64;
+        self.entries[index].wall_ms(self.now) + waiting
+    }
+
     fn note_begun(&mut self, index: usize, key: StreamKey, version: &str, ends_at: u64) {
+        let until_ms = self.kept_until_ms(index, ends_at);
         let (now, entry) = (self.now, &mut self.entries[index]);
-        let until_ms = entry.wall_ms(now) + (ends_at - self.tick) * TICK.as_millis() as u64;
         entry.origins.begin(now, key, SERVICE, version, until_ms, false);
     }
 
@@ -446,13 +476,7 @@
     fn take_up(&mut self, stream: &mut SimulatedStream) {
         stream.retry_at = self.tick + RETRY_TICKS;
         let Some(index) = self.serving_entry() else { return };
-        let left_ms = (stream.ends_at - self.tick) * TICK.as_millis() as u64;
-        let question = OriginQuestion {
-            stream: Some(stream.key),
-            services: vec![SERVICE.into()],
-            waits_until_ms: Some(self.entries[index].wall_ms(self.now) + left_ms),
-            timeout_ms: 0,
-        };
+        let question = OriginQuestion { stream: Some(stream.key), services: vec![SERVICE.into()] };
         let answer = self.find(index, &question);
         let listed = &self.entries[index].listed;
         let goes_on =
@@ -482,46 +506,33 @@
         version: &str,
         answer: &OriginAnswer,
     ) {
-        let listed_for = self.listed_since.get(stream.version).map(|at| self.now.since(*at));
-        let is_new = listed_for.is_some_and(|span| span < MAX_SOLE_AGE);
-        // Neither the store nor any entry that the others reach knows that the version has served.
-        let is_forgotten = !self.is_known(stream.version);
-        // A root hub of a divided fleet does not know at once what another one wrote.
-        let is_moving =
-            self.store.changed_at.is_some_and(|at| self.now.since(at) < MAX_DERIVED_AGE);
-        let is_excepted = match answer.evidence {
-            OriginEvidence::Sole => is_new || is_forgotten,
-            OriginEvidence::Derived => is_moving,
-            _ => false,
-        };
-        if is_excepted {
-            self.excepted += 1;
-            return;
-        }
         self.violations.push(format!(
-            "tick {}: a stream of {} went on at {version} at entry {index}, {:?} {:?}, listed {:?}",
-            self.tick, stream.version, answer.evidence, answer.age, listed_for
+            "tick {}: a stream of {} went on at {version} at entry {index}, {:?} {:?}",
+            self.tick, stream.version, answer.evidence, answer.age
         ));
     }
 
-    /// Reports whether the store or an entry knows that a version has served.
-    fn is_known(&self, version: &str) -> bool {
-        let key = VersionKey::new(SERVICE, version);
-        let entries = self.entries.iter().enumerate();
-        let mut histories = entries
-            .filter(|(index, entry)| entry.is_alive && !self.is_cut(*index))
-            .map(|(_, entry)| entry.origins.version(key).is_some());
-        let stored = format!("version.{:016x}", key.0);
-        histories.any(|is_known| is_known) || self.store.records.contains_key(&*stored)
+    /// Asks an entry, and up the hubs, for the version of a stream.
+    fn find(&mut self, index: usize, question: &OriginQuestion) -> OriginAnswer {
+        let now = self.now;
+        let own = self.find_own(index, question);
+        let hub = self.hub(index);
+        if own.is_recorded() || (hub.is_none() && !self.reaches_store(index)) {
+            return own;
+        }
+        if let Some(hub) = hub {
+            let asked = self.find(hub, question);
+            return own.or_asked(Some(asked));
+        }
+        self.read(index);
+        let listed = self.store.listed.clone();
+        self.entries[index].take_list(now, &listed, now);
+        self.find_own(index, question)
     }
 
-    /// Asks an entry, and up the hubs, for the version of a stream.
-    fn find(&self, index: usize, question: &OriginQuestion) -> OriginAnswer {
+    /// Returns what an entry knows, for a question that came in this tick.
+    fn find_own(&self, index: usize, question: &OriginQuestion) -> OriginAnswer {
         let entry = &self.entries[index];
-        let own = entry.origins.find(self.now, entry.store_age(self.now), question);
-        match self.hub(index).filter(|_| !own.is_recorded()) {
-            Some(hub) => own.or_asked(Some(self.find(hub, question))),
-            None => own,
-        }
+        entry.origins.find(self.now, self.now, entry.current_at, question)
     }
 }
--- a/crates/kernel/tests/origin_simulation/simulated_entry.rs
+++ b/crates/kernel/tests/origin_simulation/simulated_entry.rs
@@ -26,6 +26,8 @@
     /// Records that each hub has, and the digests of the versions and entries that it knows, by the hub's index
     /// and run.
     pub known: HashMap<usize, (u64, LedgerPosition, u64, u64)>,
+    /// Revision of the store's records that the entry has read.
+    pub read_revision: u64,
     /// Whether the entry wrote to the store in the last tick.
     pub writes: bool,
     pub incarnation: u64,
@@ -44,6 +46,7 @@
             current_at: TimePoint::ZERO,
             era: 0,
             known: HashMap::new(),
+            read_revision: 0,
             writes: false,
             incarnation,
         }
--- a/crates/kernel/tests/origin_simulation/simulated_store.rs
+++ b/crates/kernel/tests/origin_simulation/simulated_store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pimentorock_kernel::{stream_origin::ArchiveRecord, time::TimePoint};
+use pimentorock_kernel::stream_origin::ArchiveRecord;
 
 /// Store that may be away and may come back from a copy.
 #[derive(Clone, Default)]
@@ -12,8 +12,8 @@
     /// Versions of the listed endpoints.
     pub listed: BTreeSet<&'static str>,
     pub records: BTreeMap<Box<str>, Vec<u8>>,
-    /// Time at which the marker last changed.
-    pub changed_at: Option<TimePoint>,
+    /// Number of writes and returns from a copy so far.
+    pub revision: u64,
     copy: BTreeMap<Box<str>, Vec<u8>>,
 }
 
@@ -27,14 +27,13 @@
     pub fn restore(&mut self) {
         self.records = self.copy.clone();
         self.era += 1;
+        self.revision += 1;
     }
 
     /// Writes records; an empty value removes the key.
-    pub fn append(&mut self, now: TimePoint, records: Vec<ArchiveRecord>) {
+    pub fn append(&mut self, records: Vec<ArchiveRecord>) {
+        self.revision += u64::from(!records.is_empty());
         for record in records {
-            if &*record.key == "marker" {
-                self.changed_at = Some(now);
-            }
             match record.value.is_empty() {
                 true => self.records.remove(&record.key),
                 false => self.records.insert(record.key, record.value),
--- a/crates/kernel/tests/stream_origin.rs
+++ b/crates/kernel/tests/stream_origin.rs
@@ -4,8 +4,8 @@
 
 use pimentorock_kernel::{
     stream_origin::{
-        ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginQuestion, SpanAck,
-        StreamKey, StreamOrigins, VersionKey, VersionShare,
+        ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginQuestion, STREAM_LIFE,
+        SpanAck, StreamKey, StreamOrigins, VersionKey, VersionShare,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -24,9 +24,8 @@
 
 fn evidence(origins: &StreamOrigins, stream: StreamKey) -> (Option<VersionKey>, OriginEvidence) {
     let services = vec![SERVICE.into()];
-    let question =
-        OriginQuestion { stream: Some(stream), services, waits_until_ms: None, timeout_ms: 0 };
-    let answer = origins.find(NOW, Duration::ZERO, &question);
+    let question = OriginQuestion { stream: Some(stream), services };
+    let answer = origins.find(NOW, NOW, NOW, &question);
     (answer.version, answer.evidence)
 }
 
@@ -102,15 +101,11 @@
     records
 }
 
-/// Returns what a root hub answers of a stream without a record whose caller first asked at `asked_ms`.
-fn derived(root: &StreamOrigins, stream: u64, asked_ms: u64) -> OriginAnswer {
-    let question = OriginQuestion {
-        stream: Some(StreamKey(stream)),
-        services: vec![SERVICE.into()],
-        waits_until_ms: Some(asked_ms + 15_000),
-        timeout_ms: 15_000,
-    };
-    root.find(NOW, Duration::ZERO, &question)
+/// Returns what a root hub answers of a stream without a record.
+fn derived(root: &StreamOrigins, stream: u64) -> OriginAnswer {
+    let question =
+        OriginQuestion { stream: Some(StreamKey(stream)), services: vec![SERVICE.into()] };
+    root.find(NOW, NOW, NOW, &question)
 }
 
 #[test]
@@ -125,21 +120,115 @@
 
 /// A name that no stream has is not taken for one whose record was lost.
 #[test]
-fn a_version_is_derived_only_if_an_entry_was_lost_since_the_caller_asked() {
+fn a_version_is_derived_only_if_an_entry_was_lost_while_callers_wait() {
     let mut root = StreamOrigins::new("root", 1);
     write(&mut root, WALL_MS, &shares(1, 1));
     let records = write(&mut root, WALL_MS + 400, &shares(1, 1));
-    let asked_ms = WALL_MS + 5_000;
-    assert_eq!(derived(&root, 1, asked_ms).evidence, OriginEvidence::Unknown);
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Unknown);
     let mut next = StreamOrigins::new("root", 2);
     for record in write(&mut root, WALL_MS + 500, &shares(1, 1)).iter().chain(&records) {
         next.take_archived(NOW, &record.key, &record.value).unwrap();
     }
-    write(&mut next, asked_ms + 1_000, &shares(1, 1));
-    let answer = derived(&next, 1, asked_ms);
+    let lost_ms = WALL_MS + 6_000;
+    write(&mut next, lost_ms, &shares(1, 1));
+    let answer = derived(&next, 1);
     assert_eq!(answer.version, root.begin_version(SERVICE, StreamKey(1)));
     assert_eq!(answer.evidence, OriginEvidence::Derived);
-    assert_eq!(derived(&next, 1, asked_ms + 2_000).evidence, OriginEvidence::Unknown);
+    let life_ms = STREAM_LIFE.as_millis() as u64;
+    write(&mut next, lost_ms + life_ms - 1_000, &shares(1, 1));
+    assert_eq!(derived(&next, 1).evidence, OriginEvidence::Derived);
+    let records = write(&mut next, lost_ms + life_ms, &shares(1, 1));
+    let mut reader = StreamOrigins::new("root", 2);
+    for record in &records {
+        reader.take_archived(NOW, &record.key, &record.value).unwrap();
+    }
+    reader.note_read(NOW);
+    assert_eq!(derived(&reader, 1).evidence, OriginEvidence::Unknown);
+}
+
+/// Guards against an answer from what was read before another entry wrote: `asked_at` is when the question came.
+#[test]
+fn without_a_record_no_version_follows_from_what_was_read_before_the_question() {
+    let question = OriginQuestion { stream: Some(StreamKey(1)), services: vec![SERVICE.into()] };
+    let mut root = StreamOrigins::new("root", 1);
+    root.note_listed(WALL_MS, SERVICE, "v1");
+    write(&mut root, WALL_MS, &shares(1, 0));
+    write(&mut root, WALL_MS + 400, &shares(1, 0));
+    let later = NOW + Duration::from_millis(1);
+    let evidence =
+        |root: &StreamOrigins, asked_at| root.find(later, asked_at, asked_at, &question).evidence;
+    assert_eq!(evidence(&root, NOW), OriginEvidence::Sole);
+    assert_eq!(evidence(&root, later), OriginEvidence::Incomplete);
+    root.note_read(later);
+    assert_eq!(evidence(&root, later), OriginEvidence::Sole);
+}
+
+/// Guards against streams of a version that left as the entries that began them were killed.
+#[test]
+fn a_span_that_ended_after_an_entry_was_lost_counts_as_long_as_callers_wait() {
+    let mut root = StreamOrigins::new("root", 1);
+    write(&mut root, WALL_MS, &shares(1, 1));
+    let records = write(&mut root, WALL_MS + 400, &shares(1, 1));
+    let mut next = StreamOrigins::new("root", 2);
+    let first = write(&mut root, WALL_MS + 800, &shares(1, 1));
+    for record in records.iter().chain(&first) {
+        next.take_archived(NOW, &record.key, &record.value).unwrap();
+    }
+    // All entries were killed, and the second version has left.
+    let begun = |stream: u64| root.begin_version(SERVICE, StreamKey(stream));
+    let left = (0..64).find(|stream| begun(*stream) == Some(VersionKey::new(SERVICE, "v2")));
+    for later_ms in (1_000..5_000).step_by(200) {
+        write(&mut next, WALL_MS + later_ms, &shares(1, 0));
+    }
+    let open = next.marker_news(0).unwrap().spans;
+    assert_eq!(open.iter().filter(|span| span.until_ms.is_none()).count(), 1);
+    assert_eq!(derived(&next, left.unwrap()).evidence, OriginEvidence::Unknown);
+    let stays = (0..64).find(|stream| begun(*stream) == Some(VersionKey::new(SERVICE, "v1")));
+    assert_eq!(derived(&next, stays.unwrap()).evidence, OriginEvidence::Derived);
+}
+
+/// Guards against take-ups that are refused as a release begins, although nobody follows it yet.
+#[test]
+fn shares_are_followed_only_once_all_entries_know_that_they_are_announced() {
+    let mut root = StreamOrigins::new("root", 1);
+    let ack = |known_ms| {
+        let mut entry = StreamOrigins::new("entry", 1);
+        SpanAck { known_ms, ..entry.ack(NOW, 0) }
+    };
+    write(&mut root, WALL_MS, &shares(1, 0));
+    root.note_ack(NOW, "entry", ack(WALL_MS + 1));
+    write(&mut root, WALL_MS + 100, &shares(1, 0));
+    write(&mut root, WALL_MS + 200, &shares(0, 1));
+    write(&mut root, WALL_MS + 400, &shares(0, 1));
+    let first = Some(VersionKey::new(SERVICE, "v1"));
+    assert_eq!(root.begin_version(SERVICE, StreamKey(1)), first);
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Sole);
+    root.note_ack(NOW, "entry", ack(WALL_MS + 200));
+    write(&mut root, WALL_MS + 600, &shares(0, 1));
+    let second = Some(VersionKey::new(SERVICE, "v2"));
+    assert_eq!(root.begin_version(SERVICE, StreamKey(1)), second);
+    // An entry that does not know yet that the shares are followed may begin streams by the others.
+    write(&mut root, WALL_MS + 700, &shares(0, 1));
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Unknown);
+    root.note_ack(NOW, "entry", ack(WALL_MS + 600));
+    write(&mut root, WALL_MS + 800, &shares(0, 1));
+    assert_eq!(derived(&root, 1).version, second);
+}
+
+/// Guards against an entry that has ended, which never knows what is announced.
+#[test]
+fn shares_are_followed_after_a_second_if_an_entry_does_not_answer() {
+    let mut root = StreamOrigins::new("root", 1);
+    let mut entry = StreamOrigins::new("entry", 1);
+    root.note_ack(NOW, "entry", entry.ack(NOW, 0));
+    write(&mut root, WALL_MS, &shares(1, 0));
+    write(&mut root, WALL_MS + 100, &shares(0, 1));
+    write(&mut root, WALL_MS + 1_000, &shares(0, 1));
+    let first = Some(VersionKey::new(SERVICE, "v1"));
+    assert_eq!(root.begin_version(SERVICE, StreamKey(1)), first);
+    write(&mut root, WALL_MS + 1_100, &shares(0, 1));
+    assert_ne!(root.begin_version(SERVICE, StreamKey(1)), first);
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Unknown);
 }
 
 /// Streams that began before entries followed any shares, or before the store lost what it had.
@@ -158,10 +247,17 @@
         write(&mut next, WALL_MS + 20_400, &MarkerInput { era, ..shares(1, 1) });
         next
     };
-    let evidence = |era, asked_ms| derived(&next(era), 1, asked_ms).evidence;
-    assert_eq!(evidence(0, WALL_MS + 5_000), OriginEvidence::Derived);
-    assert_eq!(evidence(0, WALL_MS), OriginEvidence::Unknown);
-    assert_eq!(evidence(1, WALL_MS + 5_000), OriginEvidence::Unknown);
+    let evidence = |era| derived(&next(era), 1).evidence;
+    assert_eq!(evidence(0), OriginEvidence::Derived);
+    assert_eq!(evidence(1), OriginEvidence::Unknown);
+    // The entry was lost before it followed any shares.
+    let mut root = StreamOrigins::new("root", 2);
+    for record in records.iter().take(records.len() / 2) {
+        root.take_archived(NOW, &record.key, &record.value).unwrap();
+    }
+    write(&mut root, WALL_MS + 20_000, &shares(1, 1));
+    write(&mut root, WALL_MS + 20_400, &shares(1, 1));
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Unknown);
 }
 
 /// Guards against root hubs that write apart from each other.
@@ -213,6 +309,10 @@
     assert_eq!(open(&root), 2);
     root.note_ack(NOW, "entry", ack(WALL_MS + 150));
     write(&mut root, WALL_MS + 400, &shares(1, 1));
+    assert_eq!(open(&root), 2);
+    // It knew that the last span was announced, and now that it is followed.
+    root.note_ack(NOW, "entry", ack(WALL_MS + 400));
+    write(&mut root, WALL_MS + 500, &shares(1, 1));
     assert_eq!(open(&root), 1);
     // The same entries are not sent again to a hub that knows them.
     let known = root.ack(NOW, 0);
@@ -240,5 +340,5 @@
     root.note_ack(NOW, "other", ack("other"));
     write(&mut root, WALL_MS + 3_100, &shares(1, 1));
     write(&mut root, WALL_MS + 3_200, &shares(1, 1));
-    assert_eq!(derived(&root, 1, WALL_MS + 5_000).evidence, OriginEvidence::Unknown);
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Unknown);
 }
