Keep spans open while records of streams find no room

Callers would see: streams joined from two versions at more than 131,072 streams with records. An entry that has no room drops a record without a trace, although the end of a span says that all its streams have one; the version then follows from later spans.

While a caller may wait for a stream that was dropped, the entry acknowledges no span and answers 'unknown' for streams without a record.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
 mod metered_stream;
 mod metrics;
 mod origin_calls;
+mod origin_publisher;
 mod origins;
 mod peer;
 pub mod process;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -15,7 +15,7 @@
     error::{ErrorKind, GatewayError},
     follow,
     logs::{self, part},
-    origins, peer, ready,
+    origin_publisher, peer, ready,
     settings::GatewaySettings,
     state::GatewayState,
     store::FleetStore,
@@ -133,8 +133,8 @@
     tokio::spawn(duty::report_usage(Arc::clone(&state), stop_serving.clone()));
     awaited_tasks.spawn(duty::publish_shares(Arc::clone(&state), stop_tasks.clone()));
     awaited_tasks.spawn(suspects::publish_suspects(Arc::clone(&state), stop_tasks.clone()));
-    awaited_tasks.spawn(origins::publish_origins(Arc::clone(&state), stop_tasks.clone()));
-    tokio::spawn(origins::pass_on_origins(Arc::clone(&state), stop_tasks.clone()));
+    awaited_tasks.spawn(origin_publisher::publish_origins(Arc::clone(&state), stop_tasks.clone()));
+    tokio::spawn(origin_publisher::pass_on_origins(Arc::clone(&state), stop_tasks.clone()));
     tokio::spawn(follow_settings(Arc::clone(&state), reload, stop_tasks.clone()));
     stop.cancelled().await;
     let signalled = clock::now();
--- a/crates/kernel/src/stream_origin/origin_ledger.rs
+++ b/crates/kernel/src/stream_origin/origin_ledger.rs
@@ -5,12 +5,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    stream_origin::{OriginAnswer, OriginEvidence, OriginRecord, StreamKey, VersionKey},
+    stream_origin::{
+        OriginAnswer, OriginEvidence, OriginRecord, STREAM_LIFE, StreamKey, VersionKey,
+    },
     suspect::{ChangeLog, LedgerPosition},
     time::TimePoint,
 };
 
-/// Maximum number of streams that an entry knows; further ones are not noted, and are unknown.
+/// Maximum number of streams that an entry knows; further ones are not noted, and streams without a record
+/// are then unknown for a while.
 pub const MAX_ORIGINS: usize = 131_072;
 
 /// Maximum number of records in one [`OriginDelta`]; the rest follows in later ones.
@@ -39,12 +42,15 @@
 pub struct OriginLedger {
     rows: HashMap<StreamKey, OriginRow>,
     changes: ChangeLog,
+    /// Time at which a record was last not noted, as there was no room.
+    full_at: Option<TimePoint>,
 }
 
 impl OriginLedger {
     /// Returns an empty ledger for the process run `incarnation`.
     pub fn new(incarnation: u64) -> OriginLedger {
-        OriginLedger { rows: HashMap::new(), changes: ChangeLog::new(incarnation) }
+        let changes = ChangeLog::new(incarnation);
+        OriginLedger { rows: HashMap::new(), changes, full_at: None }
     }
 
     /// Merges a record, and shares it with other entries if `shares` is true.
@@ -57,12 +63,14 @@
     ) {
         let is_full = self.rows.len() >= MAX_ORIGINS;
         let Some(row) = self.rows.get_mut(&record.stream) else {
-            if !is_full {
-                let row = OriginRow { record, evidence, noted_at: now, is_shared: shares };
-                self.rows.insert(record.stream, row);
-                if shares {
-                    self.changes.note(record.stream.0);
-                }
+            if is_full {
+                self.full_at = Some(now);
+                return;
+            }
+            let row = OriginRow { record, evidence, noted_at: now, is_shared: shares };
+            self.rows.insert(record.stream, row);
+            if shares {
+                self.changes.note(record.stream.0);
             }
             return;
         };
@@ -95,6 +103,11 @@
         })
     }
 
+    /// Reports whether a caller may still wait for a stream that was not noted, as there was no room.
+    pub fn lacks_records(&self, now: TimePoint) -> bool {
+        self.full_at.is_some_and(|at| now.since(at) < STREAM_LIFE)
+    }
+
     /// Returns the record of a stream, if there is one.
     pub fn record(&self, stream: StreamKey) -> Option<OriginRecord> {
         self.rows.get(&stream).map(|row| row.record)
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -173,7 +173,7 @@
     /// Returns what this entry and those that report to it know of the shares by which streams begin, for
     /// a hub that knows the entries of the digest `known`.
     pub fn ack(&mut self, now: TimePoint, known: u64) -> SpanAck {
-        let mut ack = self.acks.group(now, self.marker.newest_ms());
+        let mut ack = self.group_ack(now);
         if ack.digest == known {
             ack.entries.clear();
         }
@@ -185,6 +185,15 @@
         self.marker.is_unsettled()
     }
 
+    fn group_ack(&mut self, now: TimePoint) -> SpanAck {
+        let mut ack = self.acks.group(now, self.marker.newest_ms());
+        if self.ledger.lacks_records(now) {
+            // An acknowledgement says that all streams from before it have records.
+            ack.known_ms = 0;
+        }
+        ack
+    }
+
     /// Reports whether this entry knows the marker that the fleet knows, or that there is none.
     pub fn knows_marker(&self) -> bool {
         self.knows_marker
@@ -257,7 +266,8 @@
             return OriginAnswer::without(OriginEvidence::Incomplete, Duration::ZERO);
         };
         let age = now.since(read_at);
-        match self.derive(listed_at >= asked_at, question) {
+        let derived = self.derive(listed_at >= asked_at, question);
+        match derived.filter(|_| !self.ledger.lacks_records(now)) {
             Some((version, evidence)) => OriginAnswer { version: Some(version), evidence, age },
             None => OriginAnswer::without(OriginEvidence::Unknown, age),
         }
@@ -388,7 +398,7 @@
         writer: &str,
         input: &MarkerInput,
     ) -> Vec<ArchiveRecord> {
-        let ack = self.acks.group(now, self.marker.newest_ms());
+        let ack = self.group_ack(now);
         let marker = self.marker.next(wall_ms, &ack, input, self.archive.fits(&self.ledger));
         self.archive.pending(wall_ms, writer, &self.ledger, &self.history, marker)
     }
--- a/crates/kernel/tests/stream_origin.rs
+++ b/crates/kernel/tests/stream_origin.rs
@@ -4,8 +4,8 @@
 
 use pimentorock_kernel::{
     stream_origin::{
-        ArchiveRecord, MarkerInput, OriginAnswer, OriginEvidence, OriginQuestion, STREAM_LIFE,
-        SpanAck, StreamKey, StreamOrigins, VersionKey, VersionShare,
+        ArchiveRecord, MAX_ORIGINS, MarkerInput, OriginAnswer, OriginEvidence, OriginQuestion,
+        STREAM_LIFE, SpanAck, StreamKey, StreamOrigins, VersionKey, VersionShare,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -319,6 +319,25 @@
     assert!(root.ack(NOW, known.digest).entries.is_empty());
 }
 
+/// Guards against streams that are derived although their records found no room.
+#[test]
+fn no_version_follows_and_no_span_ends_while_records_find_no_room() {
+    let mut root = StreamOrigins::new("root", 1);
+    write(&mut root, WALL_MS, &shares(1, 0));
+    write(&mut root, WALL_MS + 100, &shares(1, 0));
+    assert_eq!(derived(&root, 0).evidence, OriginEvidence::Sole);
+    for stream in 1..=MAX_ORIGINS as u64 + 1 {
+        root.begin(NOW, StreamKey(stream), SERVICE, "v1", WALL_MS + 15_000, true);
+    }
+    assert_eq!(root.len(), MAX_ORIGINS);
+    assert_eq!(derived(&root, 0).evidence, OriginEvidence::Unknown);
+    for later_ms in [200, 1_200, 1_400, 1_600] {
+        write(&mut root, WALL_MS + later_ms, &shares(0, 1));
+    }
+    let spans = root.marker_news(0).unwrap().spans;
+    assert_eq!(spans.iter().filter(|span| span.until_ms.is_none()).count(), 2);
+}
+
 /// Guards against an entry that counts as missing for ever once another root hub missed it.
 #[test]
 fn an_entry_that_another_root_hub_missed_is_not_missing_where_it_reports() {
