An entry that starts does not rely on the marker of one that stood still

The new entry would begin streams by shares that have ended.

An entry now says that its marker is what the fleet knows only if its copy of the store is recent, or if it has tried to read since and the store did not answer. Without that word an entry that starts waits for two seconds at most, as before.

--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -18,6 +18,10 @@
     store::{StoreRecord, StoreTopic},
 };
 
+/// Age of this entry's copy of the store up to which it is passed on to an entry that starts, unless the store
+/// is known to be away.
+const MAX_VOUCHED_AGE: Duration = Duration::from_millis(1_500);
+
 /// The newest record of an endpoint.
 #[derive(Clone, Debug)]
 struct CachedRecord {
@@ -157,6 +161,12 @@
         self.endpoints_current_at
     }
 
+    /// Reports whether an entry that starts may rely on what this one has of the store: an entry that stood
+    /// still has to try to read it first.
+    fn may_vouch(&self, now: TimePoint) -> bool {
+        now.since(self.follower.current_at()) <= MAX_VOUCHED_AGE || self.follower.reader().is_none()
+    }
+
     /// Stores the record of the current configuration.
     pub(crate) fn cache_config(&mut self, version: u64, record: StoreRecord) {
         self.config = Some((version, record));
@@ -349,6 +359,7 @@
             (ledger.changes_since(now, report.part_suspects_seen), ledger.position())
         };
         self.note_era(report.era, "peer");
+        let may_vouch = self.view().may_vouch(now);
         let (origins, versions, marker, knows_marker, group_entries) = {
             let mut known = self.origins();
             known.merge_versions(&report.versions);
@@ -361,7 +372,8 @@
             let versions = known.version_news(report.versions.digest);
             let marker = known.marker_news(report.marker_ms);
             let entries = entries.unwrap_or(0);
-            (known.position(), versions, marker, known.knows_marker(), entries)
+            let knows_marker = known.knows_marker() && may_vouch;
+            (known.position(), versions, marker, knows_marker, entries)
         };
         let limits = self.answer_limits(&report);
         let mut view = self.view();
