Believe a refusal only if it surely answers the request that was sent

Callers saw: 503 or 429, "not run, try again", for requests that an endpoint had run or was running, and requests that may run once ran at a second endpoint, when a faulty endpoint wrote an earlier refusal once more on a kept connection.

Cause: the head of a response was checked against the request's identifier only if it bore one. A refusal without it, and status 421, counted as one to the request sent last, whatever the connection had carried. Its limits, rests and loads were believed as well, even with another request's identifier. A response that named two requests counted as one to the first.

Change: `ResponseOwner` tells whether a response belongs to the request that was sent: it names the request and no other, or names none and is the first on its connection. Any other response counts as a lost run: 502 for what may run once, elsewhere for the rest. Failures without an identifier on a kept connection are no longer passed on either. Of such a response only a leaving notice is believed; its connection is closed and so are the idle ones to its endpoint, so that an endpoint which names no request in its refusals is believed on the next, new connection. A success with `X-Not-Executed` is lost instead of not run. Log line `response of another request`, metric `foreign_responses`.

Looked at, without a fault: `Unsent` of hyper (84 of 400 races, none had reached its endpoint), the entry's own refusals after a run, `may_send` after the connection was taken.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -178,6 +178,11 @@
         })
     }
 
+    /// Reports whether the connection has carried no request before the one that was sent last.
+    pub fn is_first_use(&self) -> bool {
+        self.meter.requests() <= 1
+    }
+
     /// Limits the body of the response whose head has arrived. A body without end fails as if its
     /// connection was closed, and [`endless`](HttpConnection::endless) tells the reason.
     pub fn limit_body(&self, limits: AnswerLimits) {
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, StatusCode, response};
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use pimentorock_kernel::{
     ids::EndpointKey,
-    place::{EndpointNotice, PlaceChoice, PlacedRequest},
+    place::{PlaceChoice, PlacedRequest},
     reason::DecisionReason,
     request::RunOutcome,
     retry::{RetryCase, RetryDecision},
@@ -19,7 +19,7 @@
     caller_request::CallerRequest,
     choice_log::limit_decision,
     clock,
-    connection::{ConnectionBody, ConnectionError, HttpConnection},
+    connection::ConnectionError,
     crash_checks::{self, EndpointInstance},
     dispatch_failure::{DispatchFailure, MIN_RETRY_AFTER},
     endpoint_response::EndpointResponse,
@@ -28,7 +28,7 @@
     metered_stream::EndlessResponse,
     send_outcome::SendOutcome,
     state::GatewayState,
-    wire::{ForwardSpec, ResponseHead},
+    wire::ForwardSpec,
     work_guard::WorkGuard,
 };
 
@@ -421,67 +421,6 @@
         Some(EndpointInstance { name: name.into(), address, started_ms, software })
     }
 
-    /// Checks that the head of a response belongs to this request and that the request ran.
-    ///
-    /// A response with an identifier must have the request's identifier. A response with a success
-    /// status needs an identifier and a signature; a response with another status needs neither.
-    fn check_head(
-        &self,
-        choice: &PlaceChoice,
-        mut connection: HttpConnection,
-        response: http::Response<hyper::body::Incoming>,
-        work: WorkGuard,
-    ) -> SendOutcome {
-        let (parts, body) = response.into_parts();
-        let head = (self.state.codec.response_head)(&parts.headers);
-        let now = clock::now();
-        self.note_notices(&work.instance, &parts, &head);
-        if head.id.as_deref().is_some_and(|id| id != &*self.request.id) {
-            return SendOutcome::Lost("the answer belongs to another request".into());
-        }
-        // Bytes that no endpoint vouches for say nothing of a limit.
-        let is_own = head.id.is_some() || head.signed || head.not_run;
-        if is_own && parts.status != StatusCode::MISDIRECTED_REQUEST {
-            self.state.note_limit(&self.request.id, &work, head.limit);
-        }
-        if let Some(sample) = head.sample {
-            self.state.table().note_sample(now, choice.endpoint, sample);
-        }
-        if head.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
-            if parts.status == StatusCode::MISDIRECTED_REQUEST {
-                self.state.note_replaced(choice.endpoint, &choice.name);
-            }
-            return SendOutcome::NotRun(format!("turned away with status {}", parts.status).into());
-        }
-        if parts.status.is_success() && (!head.signed || head.id.is_none()) {
-            return SendOutcome::Lost("the answer bears no signature".into());
-        }
-        if let Some(limit) = head.idle_limit {
-            connection.set_idle_limit(limit);
-        }
-        let framing = BodyFraming::new(&self.request.method, &parts);
-        let body = ConnectionBody::new(connection, body);
-        SendOutcome::Answered(Box::new(EndpointResponse { parts, head, framing, body, work }))
-    }
-
-    /// Applies what an instance asked for in a response. A misdirected request was answered by
-    /// another instance.
-    fn note_notices(
-        &self,
-        instance: &EndpointInstance,
-        parts: &response::Parts,
-        head: &ResponseHead,
-    ) {
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
-        let rest = head.rest.filter(|_| parts.status == StatusCode::SERVICE_UNAVAILABLE);
-        let leaving = head.leaving.then_some(EndpointNotice::Leaving);
-        for notice in rest.into_iter().chain(leaving) {
-            self.state.note_notice(&self.request.id, instance, notice);
-        }
-    }
-
     fn forwarded_request(
         &self,
         choice: &PlaceChoice,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,6 +62,8 @@
 pub mod process;
 mod ready;
 mod relay;
+mod response_checks;
+mod response_owner;
 mod route_table;
 mod send_outcome;
 pub mod settings;
--- a/crates/gateway/src/metered_stream.rs
+++ b/crates/gateway/src/metered_stream.rs
@@ -165,6 +165,11 @@
         self.lock().phase = ResponsePhase::Idle;
     }
 
+    /// Returns the number of requests that were sent.
+    pub(crate) fn requests(&self) -> u32 {
+        self.lock().requests
+    }
+
     /// Returns why the stream failed, if it failed because of bytes without end.
     pub(crate) fn fault(&self) -> Option<EndlessResponse> {
         self.lock().fault
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     sends: Counter<u64>,
     lost_runs: Counter<u64>,
     endless_responses: Counter<u64>,
+    foreign_responses: Counter<u64>,
     crash_checks: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
     limited_endpoints: Gauge<u64>,
@@ -60,6 +61,7 @@
             sends: meter.u64_counter("sends").build(),
             lost_runs: meter.u64_counter("lost_runs").build(),
             endless_responses: meter.u64_counter("endless_responses").build(),
+            foreign_responses: meter.u64_counter("foreign_responses").build(),
             crash_checks: meter.u64_counter("crash_checks").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
@@ -106,6 +108,11 @@
         self.endless_responses.add(1, &[KeyValue::new("part", part)]);
     }
 
+    /// Counts a response that may belong to another request, by its `owner`.
+    pub(crate) fn note_foreign(&self, owner: &'static str) {
+        self.foreign_responses.add(1, &[KeyValue::new("owner", owner)]);
+    }
+
     /// Counts a check of an endpoint that lost runs, with its verdict.
     pub(crate) fn note_crash_check(&self, verdict: &'static str) {
         self.crash_checks.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -49,11 +49,23 @@
     pub last_event: Option<&'a str>,
 }
 
+/// The request that the head of a response names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum NamedRequest {
+    /// The response names no request.
+    #[default]
+    None,
+    /// The response names the request with this identifier.
+    One(Box<str>),
+    /// The identifier cannot be read, or the response bears several that differ.
+    Unclear,
+}
+
 /// Decoded head of an endpoint's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
-    /// Identifier of the request that the response belongs to.
-    pub id: Option<Box<str>>,
+    /// The request that the response names.
+    pub request: NamedRequest,
     /// Whether the response carries an endpoint's signature.
     pub signed: bool,
     /// Whether the endpoint states that the request has not run.
