Stream origins: what a review of the fix found

A take-up now renews the record that answers it. - A marker never forgot: an entry gone for good made it change at each write, and all spans that ended from then on counted as lacking records. Markers are pruned by the time at which they were written. An entry that starts with a lower run number counted as lost at each write. - ORDER: a loss was compared with spans by clocks that differ. It now comes after the newest span. - ORDER: a marker that another entry wrote since the read was used with records from before it. Such a question is read for again. - ORDER: the condition of a write could be an offset of an earlier era; an acknowledgement could reach a new run of a hub that lacks its records; only a hub's answer makes an entry ready to follow a marker, as only a hub counts the entry. - Wake-ups while shares change end after a second, and reports come three times as often, not every 50 ms. By reading; not measured at 410 entries.

--- a/crates/daemon/tests/stream_version_facts.rs
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -128,3 +128,54 @@
     assert!(count >= STREAMS / 2, "only {count} streams were taken up");
     assert_eq!(refused, 0, "{refused} of {count} streams were refused");
 }
+
+/// Guards against a record that expires although its caller keeps asking.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_take_ups_are_refused_keeps_its_version() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    tokio::time::sleep(SETTLED).await;
+    let mut callers = Vec::new();
+    for number in 0..STREAMS {
+        let address = fleet.entries[number % 3].callers();
+        callers.push(tokio::spawn(async move {
+            let mut caller = StreamCaller::new().with_patience(1_000).with_events(FEW_EVENTS);
+            caller.call(address).await;
+            caller.with_events(usize::MAX)
+        }));
+    }
+    let mut begun = Vec::new();
+    for caller in callers {
+        begun.push(caller.await.unwrap());
+    }
+    assert!(begun.iter().all(|caller| !caller.versions.is_empty()));
+    fleet.add_endpoint("b").await;
+    fleet.add_endpoint("b").await;
+    fleet.drain("a");
+    for _ in 0..28 {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let ends = fleet.take_up_once(begun, 1).await;
+        begun = ends.into_iter().map(|(caller, _)| caller).collect();
+    }
+    check_versions(begun.iter());
+}
+
+/// Guards against streams of the only version that are refused after the store came back from an older copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_only_version_go_on_after_an_older_copy_while_an_entry_is_away() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    tokio::time::sleep(SETTLED).await;
+    let copy = fleet.platform.copy();
+    let callers = fleet.begin_short_streams(&[1], STREAMS, FEW_EVENTS).await;
+    fleet.entries[1].kill();
+    fleet.platform.restore(&copy);
+    tokio::time::sleep(2 * SETTLED).await;
+    let (mut went_on, mut count) = (0, 0);
+    for part in callers.chunks(STREAMS / 8) {
+        tokio::time::sleep(Duration::from_millis(70)).await;
+        let ends = fleet.take_up_once(part.to_vec(), 2).await;
+        check_versions(ends.iter().map(|(caller, _)| caller));
+        count += ends.len();
+        went_on += ends.iter().filter(|(_, end)| *end == CallerEnd::Complete).count();
+    }
+    assert!(2 * went_on >= count, "{went_on} of {count} streams went on");
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -36,10 +36,10 @@
 /// entry without contact after its `ENTRY_LIFE`, which is a few of these periods.
 const ENTRY_LIST_PERIOD: Duration = Duration::from_secs(1);
 
-/// Time between two reports to the hub while entries learn of new shares by which streams begin, and how long
+/// Number of reports in the place of one while entries learn of new shares by which streams begin, and how long
 /// that may take.
-const SETTLING_PERIOD: Duration = Duration::from_millis(50);
-const MAX_SETTLING_TIME: Duration = Duration::from_secs(1);
+const SETTLING_RATIO: u32 = 3;
+pub(crate) const MAX_SETTLING_TIME: Duration = Duration::from_secs(1);
 
 /// Time between calls to other entries while neither the hub nor the store provides current data.
 const DISCOVERY_PERIOD: Duration = Duration::from_millis(500);
@@ -109,7 +109,6 @@
     let mut clients = PeerClients::default();
     let mut announced_at = TimePoint::ZERO;
     let mut entries_sent_at = None;
-    let mut settling_until = TimePoint::ZERO;
     let mut round = 0;
     while !stop.is_cancelled() {
         let now = clock::now();
@@ -118,7 +117,6 @@
             (view.roster.hub(now), view.roster.period(now), view.is_stale(now))
         };
         state.step_limits(hub, exchange_period);
-        let marker_ms = state.origins().marker_ms();
         match hub {
             HubChoice::Peer(address) => {
                 let wants_entries =
@@ -148,18 +146,13 @@
                 announce(&state, &mut clients, address).await;
             }
         }
-        let is_unsettled = {
-            let origins = state.origins();
-            if origins.marker_ms() != marker_ms {
-                settling_until = now + MAX_SETTLING_TIME;
-            }
-            origins.is_unsettled()
-        };
-        let is_settling = is_unsettled && clock::now() < settling_until;
-        let pause = if is_settling { SETTLING_PERIOD } else { exchange_period };
+        // Entries learn of new shares, and say so, without waiting for a whole period.
+        let wall_ms = state.wall_ms();
+        let is_settling = state.origins().is_settling(wall_ms, MAX_SETTLING_TIME);
+        let pause = exchange_period / if is_settling { SETTLING_RATIO } else { 1 };
         tokio::select! {
             () = stop.cancelled() => return,
-            () = sleep(pause.min(exchange_period)) => {}
+            () = sleep(pause) => {}
         }
     }
 }
--- a/crates/gateway/src/origin_calls.rs
+++ b/crates/gateway/src/origin_calls.rs
@@ -12,6 +12,7 @@
 #[derive(Debug)]
 pub(crate) struct OriginCalls {
     read: Notify,
+    list: Notify,
     write: Notify,
     records: Notify,
     /// Time at which the last complete read of the store was sent.
@@ -25,6 +26,7 @@
     pub(crate) fn new() -> OriginCalls {
         OriginCalls {
             read: Notify::new(),
+            list: Notify::new(),
             write: Notify::new(),
             records: Notify::new(),
             read_at: watch::Sender::new(TimePoint::ZERO),
@@ -36,15 +38,29 @@
     /// `max_wait` at most, and returns whether it was.
     pub(crate) async fn read_since(&self, since: TimePoint, max_wait: Duration) -> bool {
         let mut reads = self.read_at.subscribe();
-        self.read.notify_one();
+        self.want_read();
         let reading = reads.wait_for(|read_at| *read_at >= since);
         tokio::time::timeout(max_wait, reading).await.is_ok_and(|read| read.is_ok())
     }
 
+    /// Asks for a read of the store.
+    pub(crate) fn want_read(&self) {
+        self.read.notify_one();
+    }
+
     /// Notes that everything in the store was read by a call that was sent at `sent_at`.
     pub(crate) fn note_read(&self, sent_at: TimePoint) {
         self.read_at.send_replace(sent_at);
-        // A question that came after the read was sent waits for the next one.
+    }
+
+    /// Asks for a read of the endpoints.
+    pub(crate) fn want_list(&self) {
+        self.list.notify_one();
+    }
+
+    /// Waits until a read of the endpoints is wanted.
+    pub(crate) async fn list_wanted(&self) {
+        self.list.notified().await;
     }
 
     /// Waits until a read is wanted.
--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -27,8 +27,7 @@
 /// collected before they go up to the hub.
 const URGENT_PERIOD: Duration = Duration::from_millis(20);
 
-/// Time between two reads of what other entries wrote; shorter than the age up to which the answers of
-/// this entry count as complete.
+/// Time between two reads of what other entries wrote, if no question asks for one.
 const READ_PERIOD: Duration = Duration::from_millis(500);
 
 /// Age of the list of endpoints up to which it tells the shares by which streams begin.
@@ -135,7 +134,7 @@
                 let records = state.origin_calls.take_records();
                 // Records that do not arrive go with the next exchange.
                 state.origin_clients.note(hub, records).await;
-                sleep(URGENT_PERIOD / 4).await;
+                sleep(URGENT_PERIOD).await;
             }
         }
     }
@@ -225,7 +224,11 @@
             |record: ArchiveRecord| NewRecord { key: record.key, value: record.value.into() };
         // A marker counts only if its writer knows all that others wrote.
         let has_marker = records.iter().any(ArchiveRecord::is_marker);
-        let expected = self.next.filter(|_| has_marker).map(|(_, next)| next);
+        let read = self.next.filter(|(known, _)| *known == era).map(|(_, next)| next);
+        if has_marker && read.is_none() {
+            return Err(StoreError::Conflict);
+        }
+        let expected = read.filter(|_| has_marker);
         let count = records.len() as u64;
         let records = records.into_iter().map(new_record).collect();
         let sent = (state.store.append)(StoreTopic::Origins, records, expected).await;
@@ -236,9 +239,12 @@
             if self.next == Some((era, position.offset)) {
                 self.next = Some((era, position.offset + count));
             }
-            let written = state.origins().note_written();
+            let (written, fits) = {
+                let mut origins = state.origins();
+                (origins.note_written(), origins.fits())
+            };
             written.iter().for_each(note_shares);
-            if written.is_some_and(|marker| marker.is_unsettled()) {
+            if !fits || written.is_some_and(|marker| marker.is_unsettled()) {
                 state.origin_calls.want_write();
             }
         }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -6,8 +6,8 @@
     hub::HubChoice,
     reason::DecisionReason,
     stream_origin::{
-        OriginAnswer, OriginEvidence, OriginQuestion, OriginRecord, StreamKey, StreamOrigins,
-        VersionKey, VersionShare,
+        OriginAnswer, OriginEvidence, OriginQuestion, OriginRecord, ServedVersion, StreamKey,
+        StreamOrigins, VersionKey, VersionShare,
     },
     time::TimePoint,
 };
@@ -15,13 +15,17 @@
 
 use crate::{
     clock, dispatch_failure::DispatchFailure, dispatcher::RequestDispatcher,
-    fleet_config::RouteKind, logs::part, state::GatewayState, work_guard::WorkGuard,
+    fleet_config::RouteKind, logs::part, peer::CallFault, state::GatewayState,
+    work_guard::WorkGuard,
 };
 
 /// Maximum time for which a question waits until the store was read; shorter than the time that another
 /// entry waits for the answer.
 const MAX_READ_WAIT: Duration = Duration::from_millis(150);
 
+/// Time between two looks whether what a question needs was read.
+const READ_CHECK_PERIOD: Duration = Duration::from_millis(10);
+
 /// Maximum time for which an entry that has a configuration waits for the marker of stream origins
 /// before it serves requests without it.
 const MAX_MARKER_DELAY: Duration = Duration::from_secs(2);
@@ -32,7 +36,7 @@
 
 /// Maximum time for which a take-up waits while the entries asked have not read the store yet, or
 /// do not answer.
-const MAX_WAIT: Duration = Duration::from_millis(300);
+const MAX_WAIT: Duration = Duration::from_millis(600);
 
 /// Maximum time for which a take-up waits until an endpoint of its version is listed. An entry that stood
 /// still has heard of all endpoints by then.
@@ -74,21 +78,29 @@
             return own;
         }
         let reads_store = self.view().serves_others(asked_at);
-        if reads_store && self.origin_calls.read_since(asked_at, MAX_READ_WAIT).await {
+        while reads_store && self.origin_calls.read_since(asked_at, MAX_READ_WAIT).await {
             own = self.find_own_origin(asked_at, question);
             if own.evidence != OriginEvidence::Incomplete {
                 return own;
             }
+            if clock::now().since(asked_at) >= MAX_READ_WAIT {
+                break;
+            }
+            // What another entry wrote since, or the endpoints, were not read yet.
+            self.origin_calls.want_read();
+            self.origin_calls.want_list();
+            sleep(READ_CHECK_PERIOD).await;
         }
         let next = match self.next_to_ask() {
             Some(next) if hops > 0 => next,
             _ => return own,
         };
         let asked = self.origin_clients.find(next, question.clone(), hops - 1).await;
-        if asked.is_none() {
+        // An entry that takes long may wait for the store.
+        if asked == Err(CallFault::Lost) {
             self.roster().note_failure(clock::now(), next);
         }
-        own.or_asked(asked)
+        own.or_asked(asked.ok())
     }
 
     /// Returns what this entry knows of a stream, for a question that came at `asked_at`.
@@ -168,9 +180,13 @@
             }
             sleep(ASK_AGAIN_PERIOD).await;
         };
-        let served = {
-            let origins = self.state.origins();
-            answer.version.and_then(|version| origins.version(version).cloned())
+        if let (Some(stream), Some(version)) = (stream, answer.version) {
+            let until_ms = self.kept_until_ms();
+            self.state.origins().renew(clock::now(), stream, version, until_ms);
+        }
+        let served = match answer.version {
+            Some(version) => self.await_listing(asked_at, version).await,
+            None => None,
         };
         let software = served.as_ref().map_or("", |served| &served.software);
         log::info!(
@@ -191,18 +207,22 @@
         };
         self.placement.service = service;
         self.continue_at(version);
-        self.await_listing(asked_at, version).await;
         Ok(())
     }
 
-    /// Waits until an endpoint of `version` is listed, as this entry may not have heard of it yet, or until
-    /// the list is known to have matched the store after `asked_at`, for [`MAX_LISTING_WAIT`] at most.
-    async fn await_listing(&self, asked_at: TimePoint, version: VersionKey) {
-        let service = self.placement.service.clone();
+    /// Returns the service and the software of `version`. An entry that stood still may not have heard of its
+    /// endpoints yet, so this waits until one of them is listed, or until the list is known to have matched
+    /// the store after `asked_at`, for [`MAX_LISTING_WAIT`] at most.
+    async fn await_listing(
+        &self,
+        asked_at: TimePoint,
+        version: VersionKey,
+    ) -> Option<ServedVersion> {
         let is_listed = || {
-            self.state.directory().entries().any(|entry| {
-                *entry.service == *service && VersionKey::new(&service, &entry.software) == version
-            })
+            self.state
+                .directory()
+                .entries()
+                .any(|entry| VersionKey::new(&entry.service, &entry.software) == version)
         };
         while !is_listed()
             && self.state.view().endpoints_current_at() < asked_at
@@ -210,6 +230,7 @@
         {
             sleep(ASK_AGAIN_PERIOD).await;
         }
+        self.state.origins().version(version).cloned()
     }
 
     /// Notes that the stream begins, and returns the version at which it must.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -135,6 +135,8 @@
     pub(crate) limits: Option<LimitReport>,
     /// What the group knows of the shares by which streams begin.
     pub(crate) spans: SpanAck,
+    /// Run of the hub's process that has all records from before; 0 if the sender does not know it yet.
+    pub(crate) hub_run: u64,
     /// Whether the sender knows the limits that the fleet knows.
     pub(crate) knows_limits: bool,
     /// Number of entries of the group, the sender included, that reported just now.
@@ -360,6 +362,15 @@
     }
 }
 
+/// Why a call to another entry has no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallFault {
+    /// The entry was not reached, or its connection was lost.
+    Lost,
+    /// The entry did not answer in time.
+    Late,
+}
+
 /// Open connections to the entries that are asked for the versions of streams.
 #[derive(Debug, Default)]
 pub(crate) struct OriginClients {
@@ -367,13 +378,17 @@
 }
 
 impl OriginClients {
-    /// Asks the entry at `address`; `None` if it does not answer within [`ORIGIN_TIMEOUT`].
+    /// Asks the entry at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry cannot be reached, or does not answer within [`ORIGIN_TIMEOUT`].
     pub(crate) async fn find(
         &self,
         address: SocketAddr,
         question: OriginQuestion,
         hops: u32,
-    ) -> Option<OriginAnswer> {
+    ) -> Result<OriginAnswer, CallFault> {
         let asking = async {
             let client = self.client(address).await?;
             client.find_origin(context::current(), question, hops).await.ok()
@@ -387,18 +402,21 @@
             let client = self.client(address).await?;
             client.note_origins(context::current(), records).await.ok()
         };
-        self.within_time(address, noting).await;
+        // What is lost goes with the next exchange.
+        let _ = self.within_time(address, noting).await;
     }
 
-    /// Returns the result of a call to the entry at `address`; `None` if it takes longer than
-    /// [`ORIGIN_TIMEOUT`].
+    /// Returns the result of a call to the entry at `address`, which ends after [`ORIGIN_TIMEOUT`].
     async fn within_time<T>(
         &self,
         address: SocketAddr,
         call: impl Future<Output = Option<T>>,
-    ) -> Option<T> {
-        let answer = tokio::time::timeout(ORIGIN_TIMEOUT, call).await.ok().flatten();
-        if answer.is_none() {
+    ) -> Result<T, CallFault> {
+        let answer = match tokio::time::timeout(ORIGIN_TIMEOUT, call).await {
+            Ok(answer) => answer.ok_or(CallFault::Lost),
+            Err(_) => Err(CallFault::Late),
+        };
+        if answer.is_err() {
             self.open().remove(&address);
         }
         answer
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -7,19 +7,20 @@
         GroupLoad, HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
         StoreFollower,
     },
+    stream_origin::SpanAck,
     time::TimePoint,
 };
 
 use crate::{
     clock,
+    follow::MAX_SETTLING_TIME,
     logs::part,
     peer::{EntryReport, EntryShare, EntryUpdate, GroupReport, KnownLedgers, PeerRecord},
     state::GatewayState,
     store::{StoreRecord, StoreTopic},
 };
 
-/// Age of this entry's copy of the store up to which it is passed on to an entry that starts, unless the store
-/// is known to be away.
+/// Age of this entry's copy of the store up to which an entry that starts may rely on it.
 const MAX_VOUCHED_AGE: Duration = Duration::from_millis(1_500);
 
 /// The newest record of an endpoint.
@@ -161,10 +162,10 @@
         self.endpoints_current_at
     }
 
-    /// Reports whether an entry that starts may rely on what this one has of the store: an entry that stood
-    /// still has to try to read it first.
+    /// Reports whether an entry that starts may rely on what this one has of the store: one that stood still
+    /// has to read it first.
     fn may_vouch(&self, now: TimePoint) -> bool {
-        now.since(self.follower.current_at()) <= MAX_VOUCHED_AGE || self.follower.reader().is_none()
+        now.since(self.follower.current_at()) <= MAX_VOUCHED_AGE
     }
 
     /// Stores the record of the current configuration.
@@ -271,7 +272,7 @@
     ) -> EntryReport {
         let own = self.table().own_load();
         let load = self.view().load_aggregator.group(clock::now(), &own);
-        let mut group = self.group_report(load, known.entries);
+        let mut group = self.group_report(load, known);
         let announcement = self.announcement(shares, wants_entries, known);
         if announcement.lacks_origins {
             // An acknowledgement says that the hub has all records from before it.
@@ -280,14 +281,15 @@
         EntryReport { group: Some(group), ..announcement.report }
     }
 
-    fn group_report(&self, load: GroupLoad, known_entries: u64) -> GroupReport {
+    fn group_report(&self, load: GroupLoad, known: KnownLedgers) -> GroupReport {
         let now = clock::now();
-        let spans = self.origins().ack(now, known_entries);
+        let spans = self.origins().ack(now, known.entries);
         let mut table = self.table();
         let limits = table.limits();
         GroupReport {
             load,
             spans,
+            hub_run: known.origins.of_peer.incarnation,
             limits: limits.report(now),
             knows_limits: limits.knows(),
             present: limits.group_entries(now),
@@ -364,9 +366,14 @@
             let mut known = self.origins();
             known.merge_versions(&report.versions);
             known.merge(now, &report.origins);
-            let spans = report.group.as_ref().map(|group| group.spans.clone());
+            let run = known.position().incarnation;
+            let spans = report.group.as_ref().map(|group| {
+                // An acknowledgement to another run of this process says nothing of this one's records.
+                let known_ms = if group.hub_run == run { group.spans.known_ms } else { 0 };
+                SpanAck { known_ms, ..group.spans.clone() }
+            });
             let entries = spans.map(|ack| known.note_ack(now, &report.process.name, ack));
-            if known.is_unsettled() {
+            if known.is_settling(own_wall_ms, MAX_SETTLING_TIME) {
                 self.origin_calls.want_write();
             }
             let versions = known.version_news(report.versions.digest);
@@ -466,7 +473,8 @@
             origins.merge_versions(&update.versions);
             // Shares the streams of the spans before, so that the next report has them.
             origins.merge_marker(update.marker.as_ref());
-            if update.knows_marker {
+            // A hub counts this entry among those that follow the marker.
+            if update.knows_marker && from_hub {
                 origins.note_marker_known();
             }
         }
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -127,6 +127,11 @@
         Ok(ArchivedNews::Nothing)
     }
 
+    /// Returns the time at which the marker in the store was written, 0 for none.
+    pub(super) fn marker_ms(&self) -> u64 {
+        self.marker.as_ref().map_or(0, |marker| marker.written_ms)
+    }
+
     /// Reports whether one write holds all records that the store lacks.
     pub(super) fn fits(&self, ledger: &OriginLedger) -> bool {
         ledger.shared_since(self.written).position == ledger.position()
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -72,9 +72,9 @@
         self.lost_ms = self.lost_ms.max(other.lost_ms);
         for (entry, marked) in &other.entries {
             let known = self.entries.entry(*entry).or_insert(*marked);
-            known.run = known.run.max(marked.run);
             known.until_ms = known.until_ms.max(marked.until_ms);
             if is_newer {
+                known.run = marked.run;
                 known.is_missing = marked.is_missing;
             }
         }
@@ -89,6 +89,8 @@
             }
         }
         self.spans.sort_by_key(|span| span.since_ms);
+        self.entries.retain(|_, marked| marked.until_ms > self.written_ms);
+        self.forget(self.written_ms);
     }
 
     /// Returns what is to be written at `wall_ms` in place of this marker, given what the entries know.
@@ -163,6 +165,11 @@
         }
     }
 
+    /// Reports whether streams of `service` without a record may have begun at any version that served.
+    pub(super) fn may_be_any(&self, service: &str) -> bool {
+        self.current(service).is_none() || self.possible(service).any(|span| span.shares.is_empty())
+    }
+
     /// Reports whether a span waits to be followed, or an earlier one to end.
     pub fn is_unsettled(&self) -> bool {
         let open = |service: &str| {
@@ -218,11 +225,13 @@
     /// Notes which entries report, and which of them have ended or are missing.
     fn note_entries(&mut self, wall_ms: u64, ack: &SpanAck) {
         let new_ms = wall_ms + ENTRY_LIFE_MS;
+        // Clocks differ: what is lost now is lost after the newest span began.
+        let lost_ms = wall_ms.max(self.newest_ms());
         for (entry, run) in &ack.entries {
             let new = MarkedEntry { run: *run, is_missing: false, until_ms: new_ms };
             let marked = self.entries.entry(*entry).or_insert(new);
             if marked.run != *run {
-                self.lost_ms = wall_ms;
+                self.lost_ms = lost_ms;
             }
             // Moved on rarely, so that the marker rarely changes.
             let is_old = marked.until_ms < wall_ms + ENTRY_LIFE_MS / 2;
@@ -232,15 +241,11 @@
         let known = self.entries.len();
         self.entries.retain(|_, marked| marked.until_ms > wall_ms);
         if self.entries.len() < known {
-            self.lost_ms = wall_ms;
+            self.lost_ms = lost_ms;
         }
         for (entry, marked) in &mut self.entries {
             marked.is_missing |= !ack.entries.contains_key(entry);
         }
-        let life_ms = STREAM_LIFE.as_millis() as u64;
-        if self.lost_ms + life_ms <= wall_ms {
-            self.lost_ms = 0;
-        }
     }
 
     /// Reports whether an entry may have begun a stream for which a caller still waits, and have died with the
@@ -283,9 +288,19 @@
     /// many.
     fn forget(&mut self, wall_ms: u64) {
         let life_ms = STREAM_LIFE.as_millis() as u64;
+        if self.lost_ms + life_ms <= wall_ms {
+            self.lost_ms = 0;
+        }
         self.spans.retain(|span| span.until_ms.is_none_or(|until| until + life_ms > wall_ms));
         for service in self.services() {
             let is_of = |span: &ShareSpan| *span.service == *service;
+            while self.spans.iter().filter(|span| is_of(span)).count() > MAX_SPANS {
+                let is_over = |span: &ShareSpan| {
+                    is_of(span) && span.until_ms.is_some() && !span.lacks_records
+                };
+                let Some(over) = self.spans.iter().position(is_over) else { break };
+                self.spans.remove(over);
+            }
             while self.spans.iter().filter(|span| is_of(span)).count() > MAX_SPANS {
                 let oldest = self.spans.iter().position(is_of).expect("there are more than one");
                 let ended = self.spans.remove(oldest);
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -142,7 +142,7 @@
         };
         let needs_record = self.marker.needs_record(service, stream);
         let shares = needs_record || self.is_stale || self.shared_services.contains(service);
-        self.note(now, stream, Some(version), until_ms, shares);
+        self.note(now, stream, Some(version), until_ms, OriginEvidence::Own, shares);
         (Some(version), needs_record)
     }
 
@@ -180,9 +180,21 @@
         ack
     }
 
-    /// Reports whether a span waits to be followed, or an earlier one to end.
-    pub fn is_unsettled(&self) -> bool {
-        self.marker.is_unsettled()
+    /// Reports whether new shares were announced or followed within `span`, and entries are to learn of it.
+    pub fn is_settling(&self, wall_ms: u64, span: Duration) -> bool {
+        let newest_ms = self.marker.newest_ms();
+        self.marker.is_unsettled() && wall_ms < newest_ms.saturating_add(span.as_millis() as u64)
+    }
+
+    /// Reports whether one write holds all records that the store lacks.
+    pub fn fits(&self) -> bool {
+        self.archive.fits(&self.ledger)
+    }
+
+    /// Notes that a caller asked for a stream that `version` began, so that the record is kept until the
+    /// wall-clock time `until_ms`.
+    pub fn renew(&mut self, now: TimePoint, stream: StreamKey, version: VersionKey, until_ms: u64) {
+        self.note(now, stream, Some(version), until_ms, OriginEvidence::Peer, true);
     }
 
     fn group_ack(&mut self, now: TimePoint) -> SpanAck {
@@ -227,7 +239,7 @@
     ) {
         let version = Some(VersionKey::new(service, software));
         let shares = is_split || self.is_stale || self.shared_services.contains(service);
-        self.note(now, stream, version, until_ms, shares);
+        self.note(now, stream, version, until_ms, OriginEvidence::Own, shares);
     }
 
     fn note(
@@ -236,12 +248,13 @@
         stream: StreamKey,
         version: Option<VersionKey>,
         until_ms: u64,
+        evidence: OriginEvidence,
         shares: bool,
     ) {
         let until_ms = until_ms.saturating_add(EXPIRY_MARGIN.as_millis() as u64);
         let expires_s = u32::try_from(until_ms.div_ceil(1_000)).unwrap_or(u32::MAX);
         let record = OriginRecord { stream, version, expires_s };
-        self.ledger.merge(now, record, OriginEvidence::Own, shares);
+        self.ledger.merge(now, record, evidence, shares);
     }
 
     /// Returns the version that began a stream, as far as this entry knows, for a question that came at
@@ -262,11 +275,15 @@
             return answer;
         }
         let read_at = self.archive.read_at().filter(|at| *at >= asked_at);
-        let Some(read_at) = read_at else {
+        // A marker that another entry wrote since the read may rest on records that the read lacks.
+        let is_read = self.archive.marker_ms() >= self.marker.written_ms;
+        let is_listed = listed_at >= asked_at;
+        let needs_list = question.services.iter().any(|service| self.marker.may_be_any(service));
+        let Some(read_at) = read_at.filter(|_| is_read && (is_listed || !needs_list)) else {
             return OriginAnswer::without(OriginEvidence::Incomplete, Duration::ZERO);
         };
         let age = now.since(read_at);
-        let derived = self.derive(listed_at >= asked_at, question);
+        let derived = self.derive(is_listed, question);
         match derived.filter(|_| !self.ledger.lacks_records(now)) {
             Some((version, evidence)) => OriginAnswer { version: Some(version), evidence, age },
             None => OriginAnswer::without(OriginEvidence::Unknown, age),
--- a/crates/kernel/tests/stream_origin.rs
+++ b/crates/kernel/tests/stream_origin.rs
@@ -319,6 +319,74 @@
     assert!(root.ack(NOW, known.digest).entries.is_empty());
 }
 
+/// Guards against a marker that is written for ever after an entry is gone for good.
+#[test]
+fn a_marker_is_settled_once_an_entry_was_forgotten() {
+    let mut root = StreamOrigins::new("root", 1);
+    let mut entry = StreamOrigins::new("entry", 1);
+    root.note_ack(NOW, "entry", entry.ack(NOW, 0));
+    write(&mut root, WALL_MS, &shares(1, 0));
+    let later = NOW + Duration::from_secs(3);
+    let mut markers = 0;
+    for step in 1..=10 {
+        root.note_read(later);
+        let wall_ms = WALL_MS + 600_000 + 200 * step;
+        let records = root.pending(later, wall_ms, "root", &shares(1, 0));
+        root.note_written();
+        markers += records.iter().filter(|record| record.is_marker()).count();
+    }
+    assert!(markers <= 3, "{markers} markers in ten steps");
+}
+
+/// Guards against an entry that counts as lost at each step once its clock was set back.
+#[test]
+fn a_marker_is_settled_after_an_entry_has_started_with_a_lower_run_number() {
+    let mut root = StreamOrigins::new("root", 1);
+    let mut markers = 0;
+    for step in 0..10 {
+        let mut entry = StreamOrigins::new("entry", if step < 3 { 7 } else { 5 });
+        let later = NOW + Duration::from_secs(3 * step);
+        root.note_ack(later, "entry", entry.ack(later, 0));
+        root.note_read(later);
+        let records = root.pending(later, WALL_MS + 200 * step, "root", &shares(1, 0));
+        root.note_written();
+        let is_late = step >= 5;
+        markers += records.iter().filter(|record| is_late && record.is_marker()).count();
+    }
+    assert_eq!(markers, 0);
+}
+
+/// Guards against a loss that seems to come before a span which a clock ahead has written.
+#[test]
+fn a_span_written_by_a_clock_ahead_lacks_the_records_of_a_lost_entry() {
+    let mut root = StreamOrigins::new("root", 1);
+    let mut records = write(&mut root, WALL_MS + 2_000, &shares(1, 1));
+    records.extend(write(&mut root, WALL_MS + 2_200, &shares(1, 1)));
+    let begun = |stream: u64| root.begin_version(SERVICE, StreamKey(stream));
+    let left = (0..64).find(|stream| begun(*stream) == Some(VersionKey::new(SERVICE, "v2")));
+    let mut next = StreamOrigins::new("root", 2);
+    for record in &records {
+        next.take_archived(NOW, &record.key, &record.value).unwrap();
+    }
+    for later_ms in (500..5_000).step_by(200) {
+        write(&mut next, WALL_MS + later_ms, &shares(1, 0));
+    }
+    assert_eq!(derived(&next, left.unwrap()).evidence, OriginEvidence::Unknown);
+}
+
+/// Guards against a record that is newer than what was read of the others.
+#[test]
+fn no_version_follows_from_a_marker_that_is_later_than_what_was_read() {
+    let mut root = StreamOrigins::new("root", 1);
+    write(&mut root, WALL_MS, &shares(1, 0));
+    write(&mut root, WALL_MS + 200, &shares(1, 0));
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Sole);
+    let mut other = StreamOrigins::new("other", 1);
+    write(&mut other, WALL_MS + 400, &shares(1, 0));
+    root.merge_marker(other.marker_news(0).as_ref());
+    assert_eq!(derived(&root, 1).evidence, OriginEvidence::Incomplete);
+}
+
 /// Guards against streams that are derived although their records found no room.
 #[test]
 fn no_version_follows_and_no_span_ends_while_records_find_no_room() {
