Tie the version of a stream to the run behind its connection

Callers saw streams with events of two versions when an endpoint crashed and was back under its name and address with other software, until the entry had read its new record: take-ups, streams that went on within one answer, and streams that began there and were taken up later.

Cause: what an endpoint runs was looked up by its name in the list of endpoints when a request was sent.

Change: connections are kept by run. Before a new connection carries streams that may be resumed, the endpoint is asked for its report on it; the start that it states must be the listed one, else the request goes elsewhere as not run. Where no start is stated, the run counts as known once the list of endpoints matched the store after the connection was opened, and 2 s later if the endpoint failed before. A take-up waits for that for 1 s at most; a new stream does not wait, and its version becomes unknown if the store lists another run within 2 s. An endpoint that was started again between the choice and the send is not used for a stream of the version before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -22,11 +22,15 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use pimentorock_kernel::answer::AnswerLimits;
+use pimentorock_kernel::{answer::AnswerLimits, time::TimePoint};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
-use crate::metered_stream::{EndlessResponse, MAX_HEAD_BYTES, MeteredStream, ResponseMeter};
+use crate::{
+    clock,
+    metered_stream::{EndlessResponse, MAX_HEAD_BYTES, MeteredStream, ResponseMeter},
+    run_statement::RunStatement,
+};
 
 /// Maximum time to open a connection. Hosts of a region are about a millisecond apart, and TCP
 /// retransmits a lost first packet only after a second.
@@ -81,6 +85,8 @@
     task: AbortHandle,
     used: Instant,
     idle_limit: Option<Duration>,
+    opened_at: TimePoint,
+    run: RunStatement,
 }
 
 impl HttpConnection {
@@ -115,7 +121,30 @@
             }
         });
         let task = task.abort_handle();
-        Ok(HttpConnection { sender, meter, task, used: Instant::now(), idle_limit: None })
+        Ok(HttpConnection {
+            sender,
+            meter,
+            task,
+            used: Instant::now(),
+            idle_limit: None,
+            opened_at: clock::now(),
+            run: RunStatement::Unasked,
+        })
+    }
+
+    /// Returns the time at which the connection was established.
+    pub(crate) fn opened_at(&self) -> TimePoint {
+        self.opened_at
+    }
+
+    /// Returns what the server stated of its run on this connection.
+    pub(crate) fn run(&self) -> RunStatement {
+        self.run
+    }
+
+    /// Sets what the server stated of its run on this connection.
+    pub(crate) fn set_run(&mut self, run: RunStatement) {
+        self.run = run;
     }
 
     /// Reports whether a request can be sent now.
--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -193,7 +193,7 @@
     let DueCheck { service, mut lost, ended } = state.crash_checks.take_due(&instance);
     let found = match opened {
         Ok(connection) => {
-            state.pool.put(&instance.name, connection);
+            state.pool.put(&instance, connection);
             InstanceState::Alive
         }
         Err(ConnectionError::Refused) => InstanceState::Crashed,
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -363,30 +363,31 @@
 
     async fn send(&mut self, choice: &PlaceChoice, last_event: Option<&str>) -> SendOutcome {
         self.sends += 1;
-        let Some(instance) = self.instance(&choice.name) else {
+        let Some(instance) = self.state.instance(&choice.name) else {
             return SendOutcome::Unreached("the endpoint has just left".into());
         };
         self.log_choice(choice);
         let now = clock::now();
         let ticket = self.state.table().sent(now, choice.endpoint, &self.placement);
         let state = Arc::clone(&self.state);
-        let work = WorkGuard { state, ticket, instance, sent_at: now, excused: self.excused };
+        let excused = self.excused;
+        let mut work =
+            WorkGuard { state, ticket, instance, sent_at: now, unproven_since: None, excused };
+        if !self.is_chosen_version(&work) {
+            return SendOutcome::Unreached("the endpoint was started again".into());
+        }
         let repeat = self.sends > 1;
-        // What cannot be sent again must not meet the bytes that a faulty endpoint sends late.
-        let must_be_quiet = !self.request.route.is_idempotent();
-        let taken = self.state.pool.take(&choice.name, work.instance.address, must_be_quiet).await;
-        let mut connection = match taken {
+        let mut connection = match self.connect(&mut work).await {
             Ok(connection) => connection,
-            Err(error) => {
+            Err(reason) => {
                 self.state.metrics.note_send("unreached", repeat);
-                self.state.note_unreached(now, choice.endpoint, &choice.name);
-                return SendOutcome::Unreached(error.to_string().into());
+                return SendOutcome::Unreached(reason);
             }
         };
         self.state.table().note_reached(choice.endpoint);
         let urgency = self.placement.urgency;
         if !self.state.table().may_send(clock::now(), choice, urgency) {
-            self.state.pool.put(&choice.name, connection);
+            self.state.pool.put(&work.instance, connection);
             return SendOutcome::Unreached("the endpoint takes no requests meanwhile".into());
         }
         let request = self.forwarded_request(choice, last_event);
@@ -412,15 +413,6 @@
         send_outcome
     }
 
-    /// Returns the current process instance of the endpoint named `name`.
-    fn instance(&self, name: &str) -> Option<EndpointInstance> {
-        let directory = self.state.directory();
-        let endpoint = directory.entry(name)?;
-        let software = endpoint.software.clone();
-        let (address, started_ms) = (endpoint.address, endpoint.started_ms);
-        Some(EndpointInstance { name: name.into(), address, started_ms, software })
-    }
-
     /// Checks that the head of a response belongs to this request and that the request ran.
     ///
     /// A response with an identifier must have the request's identifier. A response with a success
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,8 @@
   caller.
 * `state` holds what all requests share: the current `route_table`, the endpoints and the retry
   budgets.
+* `run_checks` finds out which run of an endpoint is behind a connection (`run_statement`, `run_doubts`), as the
+  version of a stream is a fact of the run that writes it.
 * `crash_checks` finds out whether an endpoint that lost requests has crashed, and `suspects` keeps the
   records of these crashes in the store.
 * `limits` takes the limits that endpoints name from their answers, and exchanges them and the tickets for
@@ -63,6 +65,9 @@
 mod ready;
 mod relay;
 mod route_table;
+mod run_checks;
+mod run_doubts;
+mod run_statement;
 mod send_outcome;
 pub mod settings;
 mod shared_view;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     lost_runs: Counter<u64>,
     endless_responses: Counter<u64>,
     crash_checks: Counter<u64>,
+    run_checks: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
@@ -61,6 +62,7 @@
             lost_runs: meter.u64_counter("lost_runs").build(),
             endless_responses: meter.u64_counter("endless_responses").build(),
             crash_checks: meter.u64_counter("crash_checks").build(),
+            run_checks: meter.u64_counter("run_checks").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
@@ -111,6 +113,11 @@
         self.crash_checks.add(1, &[KeyValue::new("verdict", verdict)]);
     }
 
+    /// Counts a check of the run behind a connection, with its verdict.
+    pub(crate) fn note_run_check(&self, verdict: &'static str) {
+        self.run_checks.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts a notice by which an endpoint was excluded.
     pub(crate) fn note_exclusion(&self, cause: &'static str) {
         self.endpoint_exclusions.add(1, &[KeyValue::new("cause", cause)]);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -298,16 +298,19 @@
         let is_split = request.route.services.len() > 1;
         // A caller may also name the attempt with which it took the stream up before.
         let begun = request.resumes.as_deref().filter(|_| request.last_event.is_some());
-        for attempt in [Some(&*request.id), begun].into_iter().flatten() {
+        let attempts = [Some(&*request.id), begun].into_iter().flatten();
+        let streams: Vec<_> = attempts.map(|attempt| StreamKey::new(account, attempt)).collect();
+        for stream in &streams {
             self.state.origins().begin(
                 clock::now(),
-                StreamKey::new(account, attempt),
+                *stream,
                 &self.placement.service,
                 &work.instance.software,
                 until_ms,
                 is_split,
             );
         }
+        self.confirm_streams(work, streams, until_ms);
     }
 
     /// Returns the failure for a stream that cannot go on at the version that began it.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -213,7 +213,7 @@
         };
     }
     if !head.closes {
-        dispatcher.state.pool.put(&work.instance.name, body.connection);
+        dispatcher.state.pool.put(&work.instance, body.connection);
     }
     if !parts.status.is_server_error() {
         dispatcher.note_completed(framing, parts.status);
@@ -393,7 +393,7 @@
                     let EndpointResponse { parts, head, framing, body, work } = response;
                     self.dispatcher.note_completed(framing, parts.status);
                     if !head.closes {
-                        self.dispatcher.state.pool.put(&work.instance.name, body.connection);
+                        self.dispatcher.state.pool.put(&work.instance, body.connection);
                     }
                     return self.finish("served");
                 }
@@ -420,6 +420,9 @@
         self.dispatcher.await_retry_after_lost_response(&work, reason).await.ok()?;
         let before = work.instance.software.clone();
         if self.progress.is_some() {
+            if !self.dispatcher.is_run_known(&work).await {
+                return None;
+            }
             self.dispatcher.continue_after(&work);
         }
         drop(work);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,6 +36,7 @@
     origin_calls::OriginCalls,
     peer::OriginClients,
     route_table::RouteTable,
+    run_doubts::RunDoubts,
     settings::GatewaySettings,
     shared_view::SharedView,
     store::{FleetStore, StoreError, StoreRecord, StoreTopic},
@@ -88,6 +89,8 @@
     /// The records of `part_suspects` that the store has.
     part_archive: Mutex<PartArchive>,
     pub(crate) crash_checks: CrashChecks,
+    /// Endpoints whose run may have ended.
+    pub(crate) run_doubts: RunDoubts,
     /// Software versions that began streams.
     origins: Mutex<StreamOrigins>,
     /// Connections to the entries that are asked for the versions of streams.
@@ -123,6 +126,7 @@
             part_suspects: Mutex::new(PartLedger::new(process.incarnation)),
             part_archive: Mutex::new(PartArchive::new()),
             crash_checks: CrashChecks::default(),
+            run_doubts: RunDoubts::default(),
             origins: Mutex::new(StreamOrigins::new(&process.name, process.incarnation)),
             origin_clients: OriginClients::default(),
             origin_calls: OriginCalls::new(),
@@ -355,6 +359,7 @@
                         "endpoint listed"
                     );
                     let started_ms = endpoint.started_ms;
+                    self.pool.forget_other_runs(&name, started_ms);
                     // Before a stream can begin there, so that it is shared.
                     self.origins().note_listed(
                         self.wall_ms(),
@@ -383,6 +388,7 @@
                     log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint gone");
                     self.table().remove(&name);
                     self.pool.forget(&name);
+                    self.run_doubts.forget(&name);
                 }
             }
         }
@@ -448,6 +454,12 @@
             "endpoint is down"
         );
         self.table().note_unreached(now, endpoint, waited);
+        self.run_doubts.note_failure(now, name, self.listed_start(name));
+    }
+
+    /// Returns the start of the listed run of an endpoint, in milliseconds since 1970.
+    fn listed_start(&self, name: &str) -> Option<u64> {
+        self.directory().entry(name)?.started_ms
     }
 
     /// Records that another endpoint answered at the address of this endpoint.
@@ -486,6 +498,7 @@
     pub(crate) fn note_failure(&self, now: TimePoint, endpoint: EndpointKey, name: &str) {
         log::info!(target: part::REQUEST, endpoint = name; "endpoint rests after a failure");
         self.table().note_failure(now, endpoint);
+        self.run_doubts.note_failure(now, name, self.listed_start(name));
     }
 }
 
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -85,6 +85,11 @@
     pub response_headers: fn(&HeaderMap) -> HeaderMap,
     /// Adds the header that states after which delay a refused caller may retry.
     pub retry_after: fn(&mut HeaderMap, Duration),
+    /// Path at which an endpoint reports on itself.
+    pub report_path: &'static str,
+    /// Decodes the wall-clock time of the endpoint's start, in milliseconds since 1970, from the body of its report;
+    /// `None` if the report states none.
+    pub report_started: fn(&[u8]) -> Option<u64>,
     /// Path of the load balancer's readiness checks.
     pub ready_path: &'static str,
 }
--- a/crates/gateway/src/work_guard.rs
+++ b/crates/gateway/src/work_guard.rs
@@ -14,6 +14,8 @@
     pub(crate) instance: EndpointInstance,
     /// When the request was sent.
     pub(crate) sent_at: TimePoint,
+    /// When the connection was opened, if it is not known for sure that the listed run is behind it.
+    pub(crate) unproven_since: Option<TimePoint>,
     /// Whether the request was sent although a part of its prompt is suspected.
     pub(crate) excused: bool,
 }
--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -39,6 +39,8 @@
 //! * or its caller names another attempt than those that brought it events;
 //! * or it began at an entry that served without the marker, which an entry waits for 2 s after its first
 //!   configuration, or that reached no root hub for [`STREAM_LIFE`];
+//! * or an endpoint that states no start was back under its name with other software before the store listed it,
+//!   and the entry that sent the take-up had not noticed that it had ended;
 //! * or the store came back from an older copy, and all entries that knew of a span and of the streams that
 //!   began by it have died.
 //!
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -221,6 +221,12 @@
         self.note(now, stream, version, until_ms, shares);
     }
 
+    /// Notes that another version may have begun `stream` than its record says. The record is kept until the
+    /// wall-clock time `until_ms`.
+    pub fn note_unknown(&mut self, now: TimePoint, stream: StreamKey, until_ms: u64) {
+        self.note(now, stream, None, until_ms, true);
+    }
+
     fn note(
         &mut self,
         now: TimePoint,
