Let no figure that others state overflow in the kernel

Callers saw 5xx from an entry after one odd record, answer or head: a sum or a time left its type, the check panicked while a lock was held, and every later request failed on that lock. A release build wrapped: a deadline or an age of 2^64 ms became a short one.

Cause: plain + - * and sum() on what others wrote: tokens of prompt parts, running + waiting, entries and tickets of groups, ages of crashes, times of markers, windows, positions; microseconds of a span cut to 64 bits; an i64 of two clocks.

Change: saturating arithmetic there, bounded turn period of substitutes, total order of costs.

--- a/crates/kernel/src/duty/limits.rs
+++ b/crates/kernel/src/duty/limits.rs
@@ -39,8 +39,8 @@
         let lease = lease.max(MIN_LEASE);
         DutyLimits {
             report_span: REPORT_SPAN,
-            takeover_span: REPORT_SPAN + MAX_REPORT_DELAY + lease,
-            released_span: lease + LEASE_GUARD,
+            takeover_span: (REPORT_SPAN + MAX_REPORT_DELAY).saturating_add(lease),
+            released_span: lease.saturating_add(LEASE_GUARD),
             latest_close: due.saturating_sub(CLOSE_BEFORE_DUE).max(due / 2),
         }
     }
--- a/crates/kernel/src/duty/window_aggregator.rs
+++ b/crates/kernel/src/duty/window_aggregator.rs
@@ -61,7 +61,8 @@
     pub fn closable(&self, wall_ms: u64, last: Option<u64>) -> Vec<ClosedWindow> {
         let current = wall_ms / self.window_ms;
         let oldest = current.saturating_sub(MAX_BACKLOG);
-        let first = last.map_or(current.saturating_sub(2), |last| last + 1).max(oldest);
+        let first =
+            last.map_or(current.saturating_sub(2), |last| last.saturating_add(1)).max(oldest);
         (first..current)
             .take_while(|window| self.may_close(*window, wall_ms))
             .map(|window| ClosedWindow { window, counts: self.sum(window) })
@@ -69,7 +70,7 @@
     }
 
     fn may_close(&self, window: u64, wall_ms: u64) -> bool {
-        let end = (window + 1) * self.window_ms;
+        let end = window.saturating_add(1).saturating_mul(self.window_ms);
         let passed = wall_ms.saturating_sub(end);
         if passed < MIN_CLOSE_DELAY.as_millis() as u64 {
             return false;
@@ -97,7 +98,8 @@
         for (account, count) in
             self.shares.values().filter_map(|share| share.counts.get(&window)).flatten()
         {
-            *counts.entry(account.clone()).or_default() += count;
+            let sum: &mut u64 = counts.entry(account.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         counts
     }
--- a/crates/kernel/src/hub/clock_filter.rs
+++ b/crates/kernel/src/hub/clock_filter.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use crate::time::TimePoint;
+use crate::time::{TimePoint, signed_span_ms};
 
 /// Largest step of the wall clock, in milliseconds, that is followed at once.
-const MAX_STEP_MS: i64 = 250;
+const MAX_STEP_MS: u64 = 250;
 
 /// Time for which a jump must last before it is accepted as a correction.
 const MIN_JUMP_SPAN: Duration = Duration::from_secs(60);
@@ -30,9 +30,9 @@
     ///
     /// `now` must come from a monotonic clock that also advances while the host is suspended.
     pub fn observe(&mut self, now: TimePoint, wall_ms: u64) -> u64 {
-        let measured = wall_ms as i64 - now.as_millis() as i64;
+        let measured = signed_span_ms(wall_ms, now.as_millis());
         let offset = self.offset.unwrap_or(measured);
-        let follows = (measured - offset).abs() <= MAX_STEP_MS;
+        let follows = measured.abs_diff(offset) <= MAX_STEP_MS;
         let lasts = !follows && now.since(*self.jumped_at.get_or_insert(now)) >= MIN_JUMP_SPAN;
         if follows || lasts {
             self.jumped_at = None;
--- a/crates/kernel/src/hub/load_aggregator.rs
+++ b/crates/kernel/src/hub/load_aggregator.rs
@@ -62,7 +62,7 @@
         self.expire(now);
         let mut sum = self.sum.clone();
         add(&mut sum, own);
-        GroupLoad { entries: 1 + self.askers_entries(), rows: sorted(sum) }
+        GroupLoad { entries: self.askers_entries().saturating_add(1), rows: sorted(sum) }
     }
 
     /// Returns the load of all entries except this one.
@@ -75,12 +75,12 @@
     /// entry.
     pub fn outside(&mut self, now: TimePoint, asker: &ProcessId, own: &[LoadRow]) -> GroupLoad {
         let (mut entries, mut sum) = self.all_others(now);
-        entries += 1;
+        entries = entries.saturating_add(1);
         add(&mut sum, own);
         // Matching by name also leaves out the previous run of an asker that restarted.
         for (_, (_, group)) in self.askers.iter().filter(|(known, _)| known.name == asker.name) {
             subtract(&mut sum, &group.rows);
-            entries -= group.entries;
+            entries = entries.saturating_sub(group.entries);
         }
         GroupLoad { entries, rows: sorted(sum) }
     }
@@ -91,11 +91,12 @@
         let recent = self.from_hub.as_ref().filter(|(at, _)| now.since(*at) < LOAD_LIFE);
         let from_hub = recent.map(|(_, load)| load);
         add(&mut sum, from_hub.map_or(&[], |load| &load.rows));
-        (self.askers_entries() + from_hub.map_or(0, |load| load.entries), sum)
+        let entries = from_hub.map_or(0, |load| load.entries);
+        (self.askers_entries().saturating_add(entries), sum)
     }
 
     fn askers_entries(&self) -> u32 {
-        self.askers.values().map(|(_, load)| load.entries).sum()
+        self.askers.values().fold(0, |sum, (_, load)| sum.saturating_add(load.entries))
     }
 
     fn expire(&mut self, now: TimePoint) {
--- a/crates/kernel/src/hub/read_turn.rs
+++ b/crates/kernel/src/hub/read_turn.rs
@@ -11,6 +11,10 @@
 /// times as there are entries, so that the attempts do not grow with the fleet.
 const ATTEMPT_SPACING: Duration = Duration::from_millis(250);
 
+/// Number of entries above which the time between two attempts of a substitute no longer grows, so that
+/// a wrong count does not keep an entry from the store.
+const MAX_COUNTED_ENTRIES: usize = 4_096;
+
 /// Determines when an entry reads one topic of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadTurn {
@@ -77,5 +81,5 @@
 
 /// Returns the mean time between two turns of a substitute.
 fn turn_period(entries: usize) -> Duration {
-    ATTEMPT_SPACING * entries as u32
+    ATTEMPT_SPACING * entries.min(MAX_COUNTED_ENTRIES) as u32
 }
--- a/crates/kernel/src/hub/roster.rs
+++ b/crates/kernel/src/hub/roster.rs
@@ -33,7 +33,8 @@
 
 /// Returns the time between two exchanges with a hub that has this number of askers.
 pub fn exchange_period(askers: usize) -> Duration {
-    MIN_PERIOD.max(PERIOD_PER_ASKER * askers as u32)
+    let askers = u32::try_from(askers).unwrap_or(u32::MAX);
+    MIN_PERIOD.max(PERIOD_PER_ASKER.saturating_mul(askers))
 }
 
 /// The source from which an entry gets its copy of the store.
--- a/crates/kernel/src/hub/skew_estimator.rs
+++ b/crates/kernel/src/hub/skew_estimator.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::ProcessId, time::TimePoint};
+use crate::{
+    ids::ProcessId,
+    time::{TimePoint, signed_span_ms},
+};
 
 /// Age at which the clock reading of another entry expires.
 const CLOCK_LIFE: Duration = Duration::from_secs(5);
@@ -27,7 +30,7 @@
     /// Records that the wall clock of `entry` showed `wall_ms` when this entry's showed `own_ms`.
     pub fn take(&mut self, now: TimePoint, entry: &ProcessId, wall_ms: u64, own_ms: u64) {
         self.skews.retain(|_, (at, _)| now.since(*at) < CLOCK_LIFE);
-        let skew = wall_ms as i64 - own_ms as i64;
+        let skew = signed_span_ms(wall_ms, own_ms);
         self.skews.insert(entry.name.clone(), (now, skew));
     }
 
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -190,7 +190,7 @@
         }
         match self.sample {
             Some((at, sample, own_then)) if now.since(at) < SAMPLE_LIFE => {
-                let all = sample.running + sample.waiting;
+                let all = sample.running.saturating_add(sample.waiting);
                 own + f64::from(all.saturating_sub(own_then))
             }
             _ => own,
@@ -204,7 +204,8 @@
 
     /// Returns the tokens that the requests of all entries occupy in the endpoint's memory.
     pub(super) fn memory(&self, now: TimePoint) -> u64 {
-        self.memory + self.others(now).map_or(0, |others| u64::from(others.memory))
+        let others = self.others(now).map_or(0, |others| u64::from(others.memory));
+        self.memory.saturating_add(others)
     }
 
     fn others(&self, now: TimePoint) -> Option<LoadRow> {
@@ -249,8 +250,8 @@
     }
 
     pub(super) fn note_unreached(&mut self, now: TimePoint, waited: Duration) {
-        self.down_until =
-            now + (waited * RECONNECT_DELAY_RATIO).clamp(MIN_RECONNECT_DELAY, MAX_RECONNECT_DELAY);
+        let delay = waited.saturating_mul(RECONNECT_DELAY_RATIO);
+        self.down_until = now + delay.clamp(MIN_RECONNECT_DELAY, MAX_RECONNECT_DELAY);
         self.last_connect_failed = true;
         self.is_probed = false;
     }
@@ -271,7 +272,7 @@
 
     pub(super) fn note_failure(&mut self, now: TimePoint) {
         let quarantine = FIRST_QUARANTINE * (1 << self.failures.min(4));
-        self.failures += 1;
+        self.failures = self.failures.saturating_add(1);
         self.failed_at = Some(now);
         self.quarantined_until = now + quarantine.min(MAX_QUARANTINE);
     }
--- a/crates/kernel/src/place/limited_choice.rs
+++ b/crates/kernel/src/place/limited_choice.rs
@@ -56,12 +56,11 @@
         mut accepting: Vec<RankedEndpoint>,
     ) -> (Option<(RankedEndpoint, Option<TimePoint>)>, Vec<LimitScope>) {
         let mut limited = Vec::new();
-        let rank = |endpoint: &RankedEndpoint| (endpoint.order, endpoint.cost);
         loop {
             let best = accepting
                 .iter()
                 .enumerate()
-                .min_by(|(_, a), (_, b)| rank(a).partial_cmp(&rank(b)).expect("costs are numbers"));
+                .min_by(|(_, a), (_, b)| a.order.cmp(&b.order).then(a.cost.total_cmp(&b.cost)));
             let Some(index) = best.map(|(index, _)| index) else { return (None, limited) };
             let endpoint = accepting.swap_remove(index);
             let state = &self.endpoints[endpoint.key];
--- a/crates/kernel/src/place/partition.rs
+++ b/crates/kernel/src/place/partition.rs
@@ -48,7 +48,8 @@
 /// A class without a limit (`None`) is never strict. If all classes would be strict, none is.
 pub fn strict_pauses(pauses: &[Option<Duration>]) -> Vec<bool> {
     let Some(shortest) = pauses.iter().flatten().min() else { return vec![false; pauses.len()] };
-    let limit = shortest.mul_f64(STRICT_RATIO);
+    let limit = shortest.as_secs_f64() * STRICT_RATIO;
+    let limit = Duration::try_from_secs_f64(limit).unwrap_or(Duration::MAX);
     let strict: Vec<bool> =
         pauses.iter().map(|pause| pause.is_some_and(|pause| pause <= limit)).collect();
     if strict.iter().all(|strict| *strict) { vec![false; pauses.len()] } else { strict }
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -90,10 +90,15 @@
 
     /// Returns the total tokens of all shared parts.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts().iter().map(|part| part.tokens).sum()
+        total_tokens(self.shared_parts().iter())
     }
 }
 
+/// Returns the total tokens of `parts`, at most what the type holds.
+pub(super) fn total_tokens<'a>(parts: impl Iterator<Item = &'a PromptPart>) -> u32 {
+    parts.fold(0, |sum, part| sum.saturating_add(part.tokens))
+}
+
 /// Number of urgencies of each tier.
 const URGENCY_PER_TIER: u8 = 2;
 
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -10,6 +10,7 @@
         EndpointNotice, EndpointSample, ExclusionTable, LoadRow, PlacedEndpoint, PlacedRequest,
         PlacementDiagnosis, WorkTicket, cost::cost, endpoint::EndpointState,
         limited_choice::RankedEndpoint, part_homes::PartHomes, pools::EndpointPools,
+        request::total_tokens,
     },
     reason::DecisionReason,
     route::mix,
@@ -309,7 +310,7 @@
         let Some(all) = self.memories.get(&state.spec.service) else { return true };
         let usable = (*all as f64 * USABLE_MEMORY_SHARE) as u64;
         let taken = state.memory(now);
-        taken == 0 || taken + request.memory_tokens() <= usable
+        taken == 0 || taken.saturating_add(request.memory_tokens()) <= usable
     }
 
     /// Sets the memory of one endpoint of each service, in tokens; a service without a value has no
@@ -328,16 +329,12 @@
         let memory = request.memory_tokens();
         let mut ticket = WorkTicket { endpoint, prefill: 0.0, memory, started: false };
         let Some(state) = self.endpoints.get_mut(endpoint) else { return ticket };
-        let held: u32 = request
-            .shared_parts()
-            .iter()
-            .take_while(|part| state.holds(now, part.id))
-            .map(|part| part.tokens)
-            .sum();
+        let held = request.shared_parts().iter().take_while(|part| state.holds(now, part.id));
+        let held = total_tokens(held);
         ticket.prefill = f64::from(request.prompt_tokens.saturating_sub(held));
         state.prefill += ticket.prefill;
-        state.in_flight += 1;
-        state.memory += memory;
+        state.in_flight = state.in_flight.saturating_add(1);
+        state.memory = state.memory.saturating_add(memory);
         state.note_sent();
         for part in request.shared_parts() {
             state.note_part(now, part.id);
--- a/crates/kernel/src/send_limit/holder_account.rs
+++ b/crates/kernel/src/send_limit/holder_account.rs
@@ -52,7 +52,10 @@
 
     /// Returns the number of tickets issued in `term` whose use is not known.
     pub(super) fn outstanding(&self, term: u32) -> u32 {
-        self.lots.iter().filter(|lot| lot.term == term).map(|lot| lot.count).sum()
+        self.lots
+            .iter()
+            .filter(|lot| lot.term == term)
+            .fold(0, |sum, lot| sum.saturating_add(lot.count))
     }
 
     /// Applies a report of the holder, and returns which tickets of `term` it settles.
@@ -93,7 +96,7 @@
             lot.count -= removed as u32;
             left -= removed;
             if lot.term == term {
-                of_term += removed as u32;
+                of_term = u32::saturating_add(of_term, removed as u32);
             }
         }
         self.lots.retain(|lot| lot.count > 0);
@@ -111,7 +114,7 @@
     pub(super) fn expire(&mut self, now: TimePoint, term: u32) -> u32 {
         let is_lost = |lot: &IssuedLot| now >= lot.expires + SETTLE_TIME;
         let lost = self.lots.iter().filter(|lot| is_lost(lot) && lot.term == term);
-        let count = lost.map(|lot| lot.count).sum();
+        let count = lost.fold(0, |sum: u32, lot| sum.saturating_add(lot.count));
         self.lots.retain(|lot| !is_lost(lot));
         count
     }
--- a/crates/kernel/src/send_limit/send_rate.rs
+++ b/crates/kernel/src/send_limit/send_rate.rs
@@ -35,7 +35,8 @@
 
     /// Returns the rate at which requests are sent, in requests a second.
     pub fn usable(self) -> f64 {
-        self.0.clamp(LOWEST_RATE, HIGHEST_RATE)
+        // What is no number, which a message may hold, counts as the lowest rate.
+        if self.0 > LOWEST_RATE { self.0.min(HIGHEST_RATE) } else { LOWEST_RATE }
     }
 
     /// Returns the sends that may accumulate while none is made.
--- a/crates/kernel/src/send_limit/ticket_pool.rs
+++ b/crates/kernel/src/send_limit/ticket_pool.rs
@@ -41,6 +41,11 @@
     returned: u64,
 }
 
+/// Returns the sum of `counts`, at most what the type holds.
+fn total(counts: impl Iterator<Item = u32>) -> u32 {
+    counts.fold(0, u32::saturating_add)
+}
+
 impl TicketPool {
     /// Begins a term in which this entry has another hub, or becomes the root hub.
     pub(super) fn enter_term(&mut self, term: u32, mints: bool) {
@@ -71,9 +76,9 @@
 
     /// Returns the number of tickets of this term that were issued or reserved and may be used yet.
     fn outstanding(&self) -> u32 {
-        let issued: u32 = self.holders.values().map(|holder| holder.outstanding(self.term)).sum();
+        let issued = self.holders.values().map(|holder| holder.outstanding(self.term));
         let own = self.own.iter().filter(|batch| batch.term == self.term);
-        issued + own.map(|batch| batch.count).sum::<u32>()
+        total(issued.chain(own.map(|batch| batch.count)))
     }
 
     /// Takes tickets that the hub issued.
@@ -85,11 +90,11 @@
     pub(super) fn expire(&mut self, now: TimePoint) {
         let term = self.term;
         let expired = self.stock.iter().chain(&self.own).filter(|batch| batch.is_expired(now));
-        let unused: u32 = expired.filter(|batch| batch.term == term).map(|batch| batch.count).sum();
+        let unused = total(expired.filter(|batch| batch.term == term).map(|batch| batch.count));
         self.note_returned(unused);
         self.stock.retain(|batch| batch.count > 0 && !batch.is_expired(now));
         self.own.retain(|batch| batch.count > 0 && !batch.is_expired(now));
-        let lost: u32 = self.holders.values_mut().map(|holder| holder.expire(now, term)).sum();
+        let lost = total(self.holders.values_mut().map(|holder| holder.expire(now, term)));
         self.note_used(lost);
         self.holders.retain(|_, holder| !holder.is_idle(now));
     }
@@ -109,14 +114,14 @@
     }
 
     fn note_used(&mut self, count: u32) {
-        self.used += u64::from(count);
+        self.used = self.used.saturating_add(u64::from(count));
     }
 
     fn note_returned(&mut self, count: u32) {
         if self.mints {
             self.minted += f64::from(count);
         } else {
-            self.returned += u64::from(count);
+            self.returned = self.returned.saturating_add(u64::from(count));
         }
     }
 
@@ -204,7 +209,7 @@
     /// Gives up the tickets that were not issued, unused.
     pub(super) fn give_back(&mut self) {
         let held = self.stock.drain(..).chain(self.own.drain(..));
-        let unused = held.filter(|batch| batch.term == self.term).map(|batch| batch.count).sum();
+        let unused = total(held.filter(|batch| batch.term == self.term).map(|batch| batch.count));
         self.note_returned(unused);
     }
 
@@ -236,7 +241,7 @@
 
     fn available(&self, now: TimePoint, rank: u8) -> u32 {
         let usable = |batch: &&TicketBatch| !batch.is_expired(now) && batch.allows(now, rank);
-        let stock: u32 = self.stock.iter().filter(usable).map(|batch| batch.count).sum();
+        let stock = total(self.stock.iter().filter(usable).map(|batch| batch.count));
         stock.saturating_add(self.minted as u32)
     }
 
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -166,7 +166,7 @@
             records.push(ArchiveRecord { key: key.clone(), value: Vec::new() });
         }
         let stored_ms = self.marker.as_ref().map_or(0, |stored| stored.written_ms);
-        let written_ms = wall_ms.max(marker.written_ms + 1);
+        let written_ms = wall_ms.max(marker.written_ms.saturating_add(1));
         // The time alone makes no other marker.
         let same = OriginMarker { written_ms: stored_ms, ..marker.clone() };
         if !marker.spans.is_empty() && self.marker.as_ref() != Some(&same) {
--- a/crates/kernel/src/stream_origin/origin_ledger.rs
+++ b/crates/kernel/src/stream_origin/origin_ledger.rs
@@ -102,7 +102,7 @@
 
     /// Drops the records of streams that no caller waits for.
     pub fn expire(&mut self, wall_ms: u64) {
-        let now_s = (wall_ms / 1_000) as u32;
+        let now_s = u32::try_from(wall_ms / 1_000).unwrap_or(u32::MAX);
         let before = self.rows.len();
         self.rows.retain(|_, row| row.record.expires_s >= now_s);
         if self.rows.len() < before {
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -151,14 +151,15 @@
     /// Lets entries follow the spans that all of them know, whose records the store has, or that were
     /// announced long enough ago.
     fn follow(&mut self, wall_ms: u64, known_ms: u64) {
-        let mut followed_ms = wall_ms.max(self.newest_ms() + 1);
+        let mut followed_ms = wall_ms.max(self.newest_ms().saturating_add(1));
         for span in &mut self.spans {
             let is_open = span.is_announced && span.until_ms.is_none();
-            let is_due = span.since_ms <= known_ms || span.since_ms + MAX_NOTICE_MS <= wall_ms;
+            let is_due =
+                span.since_ms <= known_ms || span.since_ms.saturating_add(MAX_NOTICE_MS) <= wall_ms;
             if is_open && is_due {
                 span.is_announced = false;
                 span.followed_ms = followed_ms;
-                followed_ms += 1;
+                followed_ms = followed_ms.saturating_add(1);
             }
         }
     }
@@ -217,7 +218,7 @@
 
     /// Notes which entries report, and which of them have ended or are missing.
     fn note_entries(&mut self, wall_ms: u64, ack: &SpanAck) {
-        let new_ms = wall_ms + ENTRY_LIFE_MS;
+        let new_ms = wall_ms.saturating_add(ENTRY_LIFE_MS);
         for (entry, run) in &ack.entries {
             let new = MarkedEntry { run: *run, is_missing: false, until_ms: new_ms };
             let marked = self.entries.entry(*entry).or_insert(new);
@@ -225,7 +226,7 @@
                 self.lost_ms = wall_ms;
             }
             // Moved on rarely, so that the marker rarely changes.
-            let is_old = marked.until_ms < wall_ms + ENTRY_LIFE_MS / 2;
+            let is_old = marked.until_ms < wall_ms.saturating_add(ENTRY_LIFE_MS / 2);
             let until_ms = if is_old { new_ms } else { marked.until_ms };
             *marked = MarkedEntry { until_ms, ..new };
         }
@@ -238,7 +239,7 @@
             marked.is_missing |= !ack.entries.contains_key(entry);
         }
         let life_ms = STREAM_LIFE.as_millis() as u64;
-        if self.lost_ms + life_ms <= wall_ms {
+        if self.lost_ms.saturating_add(life_ms) <= wall_ms {
             self.lost_ms = 0;
         }
     }
@@ -250,7 +251,7 @@
     }
 
     fn open(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) -> &mut ShareSpan {
-        let since_ms = wall_ms.max(self.newest_ms() + 1);
+        let since_ms = wall_ms.max(self.newest_ms().saturating_add(1));
         self.spans.push(ShareSpan::new(service, since_ms, shares));
         self.spans.last_mut().expect("a span was just added")
     }
@@ -283,7 +284,9 @@
     /// many.
     fn forget(&mut self, wall_ms: u64) {
         let life_ms = STREAM_LIFE.as_millis() as u64;
-        self.spans.retain(|span| span.until_ms.is_none_or(|until| until + life_ms > wall_ms));
+        self.spans.retain(|span| {
+            span.until_ms.is_none_or(|until| until.saturating_add(life_ms) > wall_ms)
+        });
         for service in self.services() {
             let is_of = |span: &ShareSpan| *span.service == *service;
             while self.spans.iter().filter(|span| is_of(span)).count() > MAX_SPANS {
--- a/crates/kernel/src/stream_origin/version_history.rs
+++ b/crates/kernel/src/stream_origin/version_history.rs
@@ -46,8 +46,8 @@
 
     /// Notes that a version serves at `wall_ms`.
     pub fn note_serving(&mut self, wall_ms: u64, service: &str, software: &str) {
-        let step = (wall_ms / RENEWAL_STEP_MS + 1) * RENEWAL_STEP_MS;
-        let until_ms = step + STREAM_LIFE.as_millis() as u64;
+        let step = (wall_ms / RENEWAL_STEP_MS + 1).saturating_mul(RENEWAL_STEP_MS);
+        let until_ms = step.saturating_add(STREAM_LIFE.as_millis() as u64);
         let (service, software) = (service.into(), software.into());
         self.merge(&ServedVersion { service, software, until_ms });
     }
--- a/crates/kernel/src/suspect/archive.rs
+++ b/crates/kernel/src/suspect/archive.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     suspect::{CrashEvidence, CrashRecord, SuspectLedger},
-    time::TimePoint,
+    time::{TimePoint, millis},
 };
 
 /// Maximum number of requests that are written at once.
@@ -33,7 +33,7 @@
         StoredCrash {
             endpoint: record.endpoint.clone(),
             crash_id: record.crash_id,
-            at_ms: wall_ms.saturating_sub(record.age.as_millis() as u64),
+            at_ms: wall_ms.saturating_sub(millis(record.age)),
             evidence: record.evidence,
         }
     }
@@ -138,7 +138,7 @@
         let differs = |suspect: &ArchivedSuspect| {
             let stored = stored.get(&suspect.fingerprint).map_or(&[][..], Vec::as_slice);
             if suspect.crashes.is_empty() {
-                return stored.iter().all(|crash| crash.at_ms + ttl_ms <= wall_ms);
+                return stored.iter().all(|crash| crash.at_ms.saturating_add(ttl_ms) <= wall_ms);
             }
             let counts = suspect.crashes.iter().any(StoredCrash::counts_against);
             let equivalent = |(a, b): (&StoredCrash, &StoredCrash)| a.is_equivalent(b);
--- a/crates/kernel/src/suspect/change_log.rs
+++ b/crates/kernel/src/suspect/change_log.rs
@@ -1,6 +1,9 @@
 //! The order in which the rows of a replicated table changed.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    ops::Bound,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -67,7 +70,7 @@
     /// A position of an earlier run of this process counts as the start.
     pub(crate) fn since(&self, seen: LedgerPosition, limit: usize) -> (LedgerPosition, Vec<u64>) {
         let seen = if seen.incarnation == self.incarnation { seen.changes } else { 0 };
-        let unseen = self.changed.range(seen + 1..).take(limit);
+        let unseen = self.changed.range((Bound::Excluded(seen), Bound::Unbounded)).take(limit);
         let (numbers, keys): (Vec<u64>, Vec<u64>) = unseen.unzip();
         let is_cut = numbers.len() == limit;
         let changes = numbers.last().copied().filter(|_| is_cut).unwrap_or(self.changes);
--- a/crates/kernel/src/suspect/part_archive.rs
+++ b/crates/kernel/src/suspect/part_archive.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     suspect::{CrashEvidence, PartCrash, PartHistory, PartLedger},
-    time::TimePoint,
+    time::{TimePoint, millis},
 };
 
 /// Maximum number of parts that are written at once.
@@ -94,10 +94,6 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
-    span.as_millis() as u64
-}
-
 /// The history of one part for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ArchivedPart {
--- a/crates/kernel/src/suspect/part_history.rs
+++ b/crates/kernel/src/suspect/part_history.rs
@@ -52,9 +52,10 @@
 
     /// Adds `elapsed` to all ages and drops what is older than `ttl`.
     pub fn advance(&mut self, elapsed: Duration, ttl: Duration) {
-        self.crashes.iter_mut().for_each(|crash| crash.age += elapsed);
+        self.crashes.iter_mut().for_each(|crash| crash.age = crash.age.saturating_add(elapsed));
         self.crashes.retain(|crash| crash.age < ttl);
-        self.completed = self.completed.map(|age| age + elapsed).filter(|age| *age < ttl);
+        self.completed =
+            self.completed.map(|age| age.saturating_add(elapsed)).filter(|age| *age < ttl);
     }
 
     /// Reports whether the history holds no crash.
--- a/crates/kernel/src/suspect/part_ledger.rs
+++ b/crates/kernel/src/suspect/part_ledger.rs
@@ -249,7 +249,7 @@
         crashes.map(|crash| PartCrash { age: Duration::ZERO, ..crash }).collect::<Vec<_>>()
     };
     let is_completed_later = match (before.completed, after.completed) {
-        (Some(before), Some(after)) => after + COMPLETION_STEP <= before,
+        (Some(before), Some(after)) => after.saturating_add(COMPLETION_STEP) <= before,
         (before, after) => before.is_some() != after.is_some(),
     };
     is_completed_later || ageless(before) != ageless(after)
--- a/crates/kernel/src/suspect/part_table.rs
+++ b/crates/kernel/src/suspect/part_table.rs
@@ -176,7 +176,7 @@
     fn excuse_rank(&self, part: u64) -> (usize, Duration, u64) {
         let crashes: Vec<&PartCrash> =
             self.rows.get(&part).into_iter().flat_map(PartHistory::counted).collect();
-        let ran = crashes.iter().map(|crash| crash.ran).sum::<Duration>();
+        let ran = crashes.iter().fold(Duration::ZERO, |sum, crash| sum.saturating_add(crash.ran));
         let mean = ran / u32::try_from(crashes.len().max(1)).unwrap_or(u32::MAX);
         (separate_crashes(crashes.into_iter()), mean, part)
     }
@@ -244,7 +244,7 @@
     pub fn refused_for(&self, now: TimePoint, part: u64) -> Duration {
         let elapsed = now.since(self.as_of);
         let counted = self.rows.get(&part).into_iter().flat_map(PartHistory::counted);
-        let oldest = counted.map(|crash| crash.age + elapsed).max();
+        let oldest = counted.map(|crash| crash.age.saturating_add(elapsed)).max();
         oldest.map_or(Duration::ZERO, |age| self.ttl.saturating_sub(age))
     }
 
--- a/crates/kernel/src/suspect/table.rs
+++ b/crates/kernel/src/suspect/table.rs
@@ -141,14 +141,16 @@
     fn counted(&self, now: TimePoint, fingerprint: u64) -> impl Iterator<Item = &CrashRecord> {
         let elapsed = now.since(self.as_of);
         let records = self.records.get(&fingerprint).into_iter().flatten();
-        records
-            .filter(move |record| record.counts_against() && record.age + elapsed < self.limits.ttl)
+        records.filter(move |record| {
+            record.counts_against() && record.age.saturating_add(elapsed) < self.limits.ttl
+        })
     }
 
     /// Returns the time until a request is no longer refused if nothing else changes.
     pub fn refused_for(&self, now: TimePoint, fingerprint: u64) -> Duration {
         let elapsed = now.since(self.as_of);
-        let oldest = self.counted(now, fingerprint).map(|record| record.age + elapsed).max();
+        let oldest =
+            self.counted(now, fingerprint).map(|record| record.age.saturating_add(elapsed)).max();
         oldest.map_or(Duration::ZERO, |age| self.limits.ttl.saturating_sub(age))
     }
 
@@ -209,7 +211,7 @@
         let records = self.records.get(&fingerprint).into_iter().flatten();
         records
             .filter(|record| record.evidence == CrashEvidence::Unconfirmed)
-            .any(|record| record.age + elapsed < span)
+            .any(|record| record.age.saturating_add(elapsed) < span)
     }
 
     /// Merges the table of another entry; the ages of both tables must refer to the same time.
@@ -232,7 +234,7 @@
         let elapsed = now.since(self.as_of);
         self.as_of = self.as_of.max(now);
         self.records.retain(|_, records| {
-            records.iter_mut().for_each(|record| record.age += elapsed);
+            records.iter_mut().for_each(|record| record.age = record.age.saturating_add(elapsed));
             records.retain(|record| record.age < self.limits.ttl);
             !records.is_empty()
         });
@@ -244,7 +246,7 @@
     pub fn report(&self, now: TimePoint) -> SuspectTable {
         let mut report = self.part_of_all(now);
         report.records.retain(|_, records| {
-            records.retain(|record| record.age + REPORT_MARGIN < self.limits.ttl);
+            records.retain(|record| record.age.saturating_add(REPORT_MARGIN) < self.limits.ttl);
             !records.is_empty()
         });
         report
--- a/crates/kernel/src/time.rs
+++ b/crates/kernel/src/time.rs
@@ -7,6 +7,26 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Latest wall-clock time that a record may state, in milliseconds since 1970: the end of the year 9999.
+pub const MAX_WALL_MS: u64 = 253_402_300_799_999;
+
+/// Returns the microseconds of `span`, or the largest number if there are more.
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Returns the milliseconds of `span`, or the largest number if there are more.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the milliseconds from `earlier_ms` to `later_ms`, negative if the order is the other one; a
+/// time that the type cannot hold is cut.
+pub fn signed_span_ms(later_ms: u64, earlier_ms: u64) -> i64 {
+    let span = i128::from(later_ms) - i128::from(earlier_ms);
+    i64::try_from(span).unwrap_or(if span < 0 { i64::MIN } else { i64::MAX })
+}
+
 /// A point in time on the monotonic clock of one process, in microseconds since an arbitrary
 /// start.
 ///
@@ -31,7 +51,7 @@
 
     /// Returns the point `millis` milliseconds after the start of the clock.
     pub const fn from_millis(millis: u64) -> TimePoint {
-        TimePoint(millis * 1000)
+        TimePoint(millis.saturating_mul(1000))
     }
 
     /// Returns the microseconds since the start of the clock.
@@ -59,7 +79,7 @@
     type Output = TimePoint;
 
     fn add(self, span: Duration) -> TimePoint {
-        TimePoint(self.0.saturating_add(span.as_micros() as u64))
+        TimePoint(self.0.saturating_add(micros(span)))
     }
 }
 
@@ -67,6 +87,6 @@
     type Output = TimePoint;
 
     fn sub(self, span: Duration) -> TimePoint {
-        TimePoint(self.0.saturating_sub(span.as_micros() as u64))
+        TimePoint(self.0.saturating_sub(micros(span)))
     }
 }
