Let a panic end only the work that it happened in

Cause: .lock().expect("no holder of the lock panics") on each lock of the entry; tasks whose join handles nobody reads.

Log lines and metrics name each case.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,8 +1,11 @@
 //! A pool of idle connections to endpoints.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use crate::connection::{ConnectionError, HttpConnection};
+use crate::{
+    connection::{ConnectionError, HttpConnection},
+    state_lock::StateLock,
+};
 
 /// Idle limit of a connection if its endpoint states none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
@@ -22,7 +25,7 @@
 /// because an address may be assigned to another endpoint later.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
-    idle: Mutex<HashMap<Box<str>, Vec<HttpConnection>>>,
+    idle: StateLock<HashMap<Box<str>, Vec<HttpConnection>>>,
 }
 
 impl ConnectionPool {
@@ -45,7 +48,7 @@
     }
 
     fn take_idle(&self, name: &str, must_be_quiet: bool) -> Option<HttpConnection> {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         let connections = idle.get_mut(name)?;
         connections.retain(|connection| {
             !connection.is_closed() && connection.idle() < usable_idle_time(connection)
@@ -60,7 +63,7 @@
     /// Returns a connection whose response was read to its end to the pool.
     pub(crate) fn put(&self, name: &str, mut connection: HttpConnection) {
         connection.touch();
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         let connections = idle.entry(name.into()).or_default();
         if connections.len() < MAX_IDLE {
             connections.push(connection);
@@ -69,12 +72,12 @@
 
     /// Closes all idle connections to an endpoint.
     pub(crate) fn forget(&self, name: &str) {
-        self.idle.lock().expect("no holder of the lock panics").remove(name);
+        self.idle.lock().remove(name);
     }
 
     /// Closes the idle connections that may not be reused.
     pub(crate) fn prune(&self) {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         for connections in idle.values_mut() {
             connections.retain(|connection| {
                 !connection.is_closed() && connection.idle() < usable_idle_time(connection)
--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -11,7 +11,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, MutexGuard},
     time::Duration,
 };
 
@@ -26,6 +26,7 @@
     connection::{ConnectionError, HttpConnection},
     logs::part,
     state::GatewayState,
+    state_lock::StateLock,
 };
 
 /// Time from the loss of a connection to the check. A process that ends may close its connections
@@ -99,7 +100,7 @@
 /// The checks of an entry.
 #[derive(Debug, Default)]
 pub(crate) struct CrashChecks {
-    state: Mutex<ChecksState>,
+    state: StateLock<ChecksState>,
 }
 
 #[derive(Debug, Default)]
@@ -153,7 +154,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, ChecksState> {
-        self.state.lock().expect("no holder of the lock panics")
+        self.state.lock()
     }
 }
 
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -294,8 +294,10 @@
         let current = self.state.wall_ms() / self.state.window_ms();
         let has_returned = self.has_read && newest.era > self.duty.end().era;
         self.duty.enter_era(now, newest.era, current);
+        let metrics = self.state.metrics.clone();
         for record in &newest.records {
-            self.apply_duty(now, newest.era, record);
+            let apply = || self.apply_duty(now, newest.era, record);
+            metrics.shield_record("duty", &record.key, apply);
         }
         self.duty.skip_to(now, LogPosition { era: newest.era, offset: newest.end });
         if has_returned && self.duty.last_closed().is_some_and(|last| last + 1 >= current) {
@@ -307,7 +309,9 @@
         self.has_read = true;
         let shares = (self.state.store.newest)(StoreTopic::Shares).await;
         self.state.metrics.note_store_call("shares", shares.is_ok());
-        self.apply_shares(&shares?.records);
+        for record in &shares?.records {
+            metrics.shield_record("shares", &record.key, || self.apply_shares(record));
+        }
         self.shares_read_at = now;
         Ok(())
     }
@@ -336,22 +340,20 @@
         }
     }
 
-    fn apply_shares(&mut self, records: &[StoreRecord]) {
+    fn apply_shares(&mut self, record: &StoreRecord) {
         let now = clock::now();
-        for record in records {
-            let Some(value) = &record.value else { continue };
-            match serde_json::from_slice::<Vec<EntryShare>>(value) {
-                Ok(shares) => {
-                    for share in shares {
-                        self.note_peer(now, &share);
-                        self.aggregator.take(share.usage);
-                    }
-                }
-                Err(error) => {
-                    let error = error.to_string();
-                    log::warn!(target: part::DUTY, error = error; "cannot decode the usage shares");
+        let Some(value) = &record.value else { return };
+        match serde_json::from_slice::<Vec<EntryShare>>(value) {
+            Ok(shares) => {
+                for share in shares {
+                    self.note_peer(now, &share);
+                    self.aggregator.take(share.usage);
                 }
             }
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(target: part::DUTY, error = error; "cannot decode the usage shares");
+            }
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
   sends the request to endpoints until one of them responds (`choice_log` and `crash_refusals` belong to
   it); `relay` forwards the response to the
   caller.
-* `state` holds what all requests share: the current `route_table`, the endpoints and the retry
+* `state` holds what all requests share, each behind a [`state_lock`]; `panic_guard` starts tasks again: the current `route_table`, the endpoints and the retry
   budgets.
 * `crash_checks` finds out whether an endpoint that lost requests has crashed, and `suspects` keeps the
   records of these crashes in the store.
@@ -58,6 +58,7 @@
 mod metrics;
 mod origin_calls;
 mod origins;
+mod panic_guard;
 mod peer;
 pub mod process;
 mod ready;
@@ -67,6 +68,7 @@
 pub mod settings;
 mod shared_view;
 mod state;
+pub mod state_lock;
 pub mod store;
 mod suspects;
 mod topic_reader;
--- a/crates/gateway/src/message_buffers.rs
+++ b/crates/gateway/src/message_buffers.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, MutexGuard},
 };
 
 use bytes::Bytes;
 use pimentorock_kernel::answer::{BufferKey, BufferLedger};
 use tokio_util::sync::CancellationToken;
 
+use crate::state_lock::StateLock;
+
 /// Share of the process's memory that messages may occupy. The rest is for connections, the state
 /// of the fleet, and messages that are on their way to a caller.
 const MESSAGE_SHARE: f64 = 0.25;
@@ -29,7 +31,7 @@
 /// Bounds the memory of all messages together.
 #[derive(Debug)]
 pub(crate) struct MessageBuffers {
-    state: Mutex<BufferState>,
+    state: StateLock<BufferState>,
 }
 
 impl MessageBuffers {
@@ -37,7 +39,7 @@
     pub(crate) fn new(memory: Option<u64>) -> MessageBuffers {
         let share = |memory: u64| (memory as f64 * MESSAGE_SHARE) as u64;
         let ledger = BufferLedger::new(memory.map_or(DEFAULT_MESSAGE_BYTES, share));
-        MessageBuffers { state: Mutex::new(BufferState { ledger, evictions: HashMap::new() }) }
+        MessageBuffers { state: StateLock::new(BufferState { ledger, evictions: HashMap::new() }) }
     }
 
     /// Returns a buffer without any bytes.
@@ -51,7 +53,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BufferState> {
-        self.state.lock().expect("no holder of the lock panics")
+        self.state.lock()
     }
 
     fn open(&self) -> OpenBuffer {
--- a/crates/gateway/src/metered_stream.rs
+++ b/crates/gateway/src/metered_stream.rs
@@ -4,7 +4,7 @@
     fmt,
     io::{Error, ErrorKind},
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, MutexGuard},
     task::{Context, Poll},
     time::Duration,
 };
@@ -16,7 +16,7 @@
     time::{Sleep, sleep},
 };
 
-use crate::clock;
+use crate::{clock, state_lock::StateLock};
 
 /// Maximum number of bytes until the end of a response head, with all provisional responses before
 /// it.
@@ -114,7 +114,7 @@
 /// stream.
 #[derive(Debug, Default)]
 pub(crate) struct ResponseMeter {
-    state: Mutex<MeterState>,
+    state: StateLock<MeterState>,
 }
 
 impl ResponseMeter {
@@ -171,7 +171,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, MeterState> {
-        self.state.lock().expect("no holder of the lock panics")
+        self.state.lock()
     }
 
     /// Notes bytes that arrived, and returns the head that they belong to, if any.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::logs;
+use crate::{logs, state_lock::recovered_locks};
 
 /// Instruments of one entry and the registry that exports them.
 #[derive(Clone, Debug)]
@@ -40,6 +40,7 @@
     config_version: Gauge<u64>,
     store_era: Gauge<u64>,
     endpoints: Gauge<u64>,
+    panics: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -54,6 +55,9 @@
         let meter = provider.meter("pimentorock");
         let observe = |observer: &dyn AsyncInstrument<u64>| observer.observe(logs::dropped(), &[]);
         meter.u64_observable_counter("dropped_log_lines").with_callback(observe).build();
+        let observe =
+            |observer: &dyn AsyncInstrument<u64>| observer.observe(recovered_locks(), &[]);
+        meter.u64_observable_counter("recovered_locks").with_callback(observe).build();
         GatewayMetrics {
             registry,
             requests: meter.u64_counter("requests").build(),
@@ -80,6 +84,7 @@
             config_version: meter.u64_gauge("config_version").build(),
             store_era: meter.u64_gauge("store_era").build(),
             endpoints: meter.u64_gauge("endpoints").build(),
+            panics: meter.u64_counter("panics").build(),
             _provider: provider,
         }
     }
@@ -196,6 +201,11 @@
         self.endpoints.record(count as u64, &[]);
     }
 
+    /// Counts a panic of `part`: the name of a task, or of the topic of a record.
+    pub(crate) fn note_panic(&self, part: &'static str) {
+        self.panics.add(1, &[KeyValue::new("part", part)]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         let mut text = Vec::new();
--- a/crates/gateway/src/origin_calls.rs
+++ b/crates/gateway/src/origin_calls.rs
@@ -1,13 +1,12 @@
 //! What must not wait for the next exchange of the versions of streams.
 
-use std::{
-    sync::{Mutex, MutexGuard},
-    time::Duration,
-};
+use std::{sync::MutexGuard, time::Duration};
 
 use pimentorock_kernel::{stream_origin::OriginRecord, time::TimePoint};
 use tokio::sync::{Notify, watch};
 
+use crate::state_lock::StateLock;
+
 /// Wakes the tasks that exchange the versions of streams with the store and the hub.
 #[derive(Debug)]
 pub(crate) struct OriginCalls {
@@ -17,7 +16,7 @@
     /// Time at which the last complete read of the store was sent.
     read_at: watch::Sender<TimePoint>,
     /// Records that the hub should have at once.
-    urgent: Mutex<Vec<OriginRecord>>,
+    urgent: StateLock<Vec<OriginRecord>>,
 }
 
 impl OriginCalls {
@@ -28,7 +27,7 @@
             write: Notify::new(),
             records: Notify::new(),
             read_at: watch::Sender::new(TimePoint::ZERO),
-            urgent: Mutex::new(Vec::new()),
+            urgent: StateLock::new(Vec::new()),
         }
     }
 
@@ -81,6 +80,6 @@
     }
 
     fn urgent(&self) -> MutexGuard<'_, Vec<OriginRecord>> {
-        self.urgent.lock().expect("no holder of the lock panics")
+        self.urgent.lock()
     }
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -456,7 +456,9 @@
             EraChange::Entered => {}
             EraChange::Outdated => return Err(StoreError::Outdated),
         }
-        batch.records.iter().for_each(|record| self.state.apply_origin(record));
+        for record in &batch.records {
+            self.state.apply_record(StoreTopic::Origins, batch.era, record, "store");
+        }
         let is_first = self.next.is_none();
         // A read that reached its size limit ends before the end of the topic.
         let last = batch.records.iter().map(|record| record.offset + 1).max();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, MutexGuard},
     time::Duration,
 };
 
@@ -35,7 +35,7 @@
 
 use crate::{
     acceptor::accept_connections, clock, connection, logs::part, state::GatewayState,
-    store::StoreRecord,
+    state_lock::StateLock, store::StoreRecord,
 };
 
 /// Maximum size of one report or update in bytes. An update with the records of some thousand
@@ -363,7 +363,7 @@
 /// Open connections to the entries that are asked for the versions of streams.
 #[derive(Debug, Default)]
 pub(crate) struct OriginClients {
-    open: Mutex<HashMap<SocketAddr, GatewayPeerClient>>,
+    open: StateLock<HashMap<SocketAddr, GatewayPeerClient>>,
 }
 
 impl OriginClients {
@@ -415,7 +415,7 @@
     }
 
     fn open(&self) -> MutexGuard<'_, HashMap<SocketAddr, GatewayPeerClient>> {
-        self.open.lock().expect("no holder of the lock panics")
+        self.open.lock()
     }
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -128,14 +128,27 @@
     let connections = TaskTracker::new();
     let awaited_tasks = TaskTracker::new();
     start_followers(&state, &stop_tasks);
+    let reload = Arc::new(reload);
     start_servers(&state, sockets, &stop_tasks, &stop_serving, &connections);
     // The duty is released as soon as the entry stops accepting callers, before connections drain.
-    tokio::spawn(duty::report_usage(Arc::clone(&state), stop_serving.clone()));
-    awaited_tasks.spawn(duty::publish_shares(Arc::clone(&state), stop_tasks.clone()));
-    awaited_tasks.spawn(suspects::publish_suspects(Arc::clone(&state), stop_tasks.clone()));
-    awaited_tasks.spawn(origins::publish_origins(Arc::clone(&state), stop_tasks.clone()));
-    tokio::spawn(origins::pass_on_origins(Arc::clone(&state), stop_tasks.clone()));
-    tokio::spawn(follow_settings(Arc::clone(&state), reload, stop_tasks.clone()));
+    tokio::spawn(lasting_task(&state, &stop_serving, "report_usage", duty::report_usage));
+    awaited_tasks.spawn(lasting_task(&state, &stop_tasks, "publish_shares", duty::publish_shares));
+    awaited_tasks.spawn(lasting_task(
+        &state,
+        &stop_tasks,
+        "publish_suspects",
+        suspects::publish_suspects,
+    ));
+    awaited_tasks.spawn(lasting_task(
+        &state,
+        &stop_tasks,
+        "publish_origins",
+        origins::publish_origins,
+    ));
+    tokio::spawn(lasting_task(&state, &stop_tasks, "pass_on_origins", origins::pass_on_origins));
+    let follow =
+        move |state, stop: CancellationToken| follow_settings(state, Arc::clone(&reload), stop);
+    tokio::spawn(lasting_task(&state, &stop_tasks, "follow_settings", follow));
     stop.cancelled().await;
     let signalled = clock::now();
     state.draining.store(true, Ordering::Relaxed);
@@ -154,11 +167,26 @@
 
 /// Starts the tasks that follow the store and exchange state with other entries.
 fn start_followers(state: &Arc<GatewayState>, stop: &CancellationToken) {
-    tokio::spawn(follow::follow_config(Arc::clone(state), stop.clone()));
-    tokio::spawn(follow::follow_endpoints(Arc::clone(state), stop.clone()));
-    tokio::spawn(follow::follow_suspects(Arc::clone(state), stop.clone()));
-    tokio::spawn(follow::expire_idle(Arc::clone(state), stop.clone()));
-    tokio::spawn(follow::exchange_with_peers(Arc::clone(state), stop.clone()));
+    tokio::spawn(lasting_task(state, stop, "follow_config", follow::follow_config));
+    tokio::spawn(lasting_task(state, stop, "follow_endpoints", follow::follow_endpoints));
+    tokio::spawn(lasting_task(state, stop, "follow_suspects", follow::follow_suspects));
+    tokio::spawn(lasting_task(state, stop, "expire_idle", follow::expire_idle));
+    tokio::spawn(lasting_task(state, stop, "exchange_with_peers", follow::exchange_with_peers));
+}
+
+/// Returns the task `run` named `name`, which is started again if it ends by a panic.
+fn lasting_task<F, R>(
+    state: &Arc<GatewayState>,
+    stop: &CancellationToken,
+    name: &'static str,
+    run: R,
+) -> impl Future<Output = ()> + use<F, R>
+where
+    F: Future<Output = ()> + Send + 'static,
+    R: Fn(Arc<GatewayState>, CancellationToken) -> F,
+{
+    let (state, stop) = (Arc::clone(state), stop.clone());
+    state.metrics.clone().run_task(name, move || run(Arc::clone(&state), stop.clone()))
 }
 
 /// Starts the servers of all sockets.
@@ -203,7 +231,11 @@
 /// The seeds and the retry allowance are applied after a SIGHUP or if any setting changed; changes
 /// of other settings take effect only after a restart. Unusable settings are logged, and the
 /// previous settings stay in effect.
-async fn follow_settings(state: Arc<GatewayState>, reload: ReloadCall, stop: CancellationToken) {
+async fn follow_settings(
+    state: Arc<GatewayState>,
+    reload: Arc<ReloadCall>,
+    stop: CancellationToken,
+) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(error) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc, MutexGuard,
         atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -38,7 +38,9 @@
     route_table::RouteTable,
     settings::GatewaySettings,
     shared_view::SharedView,
+    state_lock::StateLock,
     store::{FleetStore, StoreError, StoreRecord, StoreTopic},
+    topic_reader::topic_name,
     wire::WireCodec,
 };
 
@@ -68,35 +70,35 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) buffers: Arc<MessageBuffers>,
     pub(crate) metrics: GatewayMetrics,
-    clock_filter: Mutex<ClockFilter>,
+    clock_filter: StateLock<ClockFilter>,
     /// Milliseconds by which most wall clocks are ahead of this host's wall clock.
     clock_skew: AtomicI64,
     /// Whether the process is draining connections before it stops.
     pub(crate) draining: AtomicBool,
-    view: Mutex<SharedView>,
-    directory: Mutex<EndpointDirectory>,
-    table: Mutex<PlacementTable>,
-    budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
+    view: StateLock<SharedView>,
+    directory: StateLock<EndpointDirectory>,
+    table: StateLock<PlacementTable>,
+    budgets: StateLock<HashMap<Box<str>, RetryBudget>>,
     /// Retry ratio and retry slack of the whole deployment, as in [`GatewaySettings`].
-    retry_allowance: Mutex<(f64, f64)>,
+    retry_allowance: StateLock<(f64, f64)>,
     /// Requests that may crash the endpoints that run them.
-    suspects: Mutex<SuspectLedger>,
+    suspects: StateLock<SuspectLedger>,
     /// The records of `suspects` that the store has.
-    archive: Mutex<SuspectArchive>,
+    archive: StateLock<SuspectArchive>,
     /// Prompt parts that may crash the endpoints that run requests with them.
-    part_suspects: Mutex<PartLedger>,
+    part_suspects: StateLock<PartLedger>,
     /// The records of `part_suspects` that the store has.
-    part_archive: Mutex<PartArchive>,
+    part_archive: StateLock<PartArchive>,
     pub(crate) crash_checks: CrashChecks,
     /// Software versions that began streams.
-    origins: Mutex<StreamOrigins>,
+    origins: StateLock<StreamOrigins>,
     /// Connections to the entries that are asked for the versions of streams.
     pub(crate) origin_clients: OriginClients,
     /// What must not wait for the next exchange of the versions of streams.
     pub(crate) origin_calls: OriginCalls,
-    usage_counter: Mutex<UsageCounter>,
+    usage_counter: StateLock<UsageCounter>,
     /// Last usage share of this entry, and its time.
-    last_share: Mutex<Option<(TimePoint, UsageShare)>>,
+    last_share: StateLock<Option<(TimePoint, UsageShare)>>,
     /// When the process started.
     pub(crate) started: TimePoint,
     /// Number of entries that share the retry allowance, including this one.
@@ -116,14 +118,17 @@
         let mut limits = LimitTable::new(process.incarnation);
         limits.set_named_entries(named_entries(&settings));
         GatewayState {
-            table: Mutex::new(PlacementTable::new(&settings.domain).with_limits(limits)),
-            usage_counter: Mutex::new(UsageCounter::new(process.clone(), window_ms)),
-            suspects: Mutex::new(SuspectLedger::new(process.incarnation, SuspectLimits::ungated())),
-            archive: Mutex::new(SuspectArchive::new()),
-            part_suspects: Mutex::new(PartLedger::new(process.incarnation)),
-            part_archive: Mutex::new(PartArchive::new()),
+            table: StateLock::new(PlacementTable::new(&settings.domain).with_limits(limits)),
+            usage_counter: StateLock::new(UsageCounter::new(process.clone(), window_ms)),
+            suspects: StateLock::new(SuspectLedger::new(
+                process.incarnation,
+                SuspectLimits::ungated(),
+            )),
+            archive: StateLock::new(SuspectArchive::new()),
+            part_suspects: StateLock::new(PartLedger::new(process.incarnation)),
+            part_archive: StateLock::new(PartArchive::new()),
             crash_checks: CrashChecks::default(),
-            origins: Mutex::new(StreamOrigins::new(&process.name, process.incarnation)),
+            origins: StateLock::new(StreamOrigins::new(&process.name, process.incarnation)),
             origin_clients: OriginClients::default(),
             origin_calls: OriginCalls::new(),
             process,
@@ -133,14 +138,14 @@
             pool: ConnectionPool::default(),
             buffers: Arc::new(MessageBuffers::new(settings.memory)),
             metrics: GatewayMetrics::new(),
-            clock_filter: Mutex::new(ClockFilter::new()),
+            clock_filter: StateLock::new(ClockFilter::new()),
             clock_skew: AtomicI64::new(0),
             draining: AtomicBool::new(false),
-            view: Mutex::new(SharedView::new(roster)),
-            directory: Mutex::new(EndpointDirectory::new()),
-            budgets: Mutex::new(HashMap::new()),
-            retry_allowance: Mutex::new((settings.retry_ratio, settings.retry_slack)),
-            last_share: Mutex::new(None),
+            view: StateLock::new(SharedView::new(roster)),
+            directory: StateLock::new(EndpointDirectory::new()),
+            budgets: StateLock::new(HashMap::new()),
+            retry_allowance: StateLock::new((settings.retry_ratio, settings.retry_slack)),
+            last_share: StateLock::new(None),
             started: clock::now(),
             live_entries: AtomicUsize::new(INITIAL_ENTRY_COUNT),
             settings,
@@ -149,49 +154,49 @@
 
     /// Locks the table of endpoints and their load.
     pub(crate) fn table(&self) -> MutexGuard<'_, PlacementTable> {
-        self.table.lock().expect("no holder of the lock panics")
+        self.table.lock()
     }
 
     /// Locks the directory of the endpoints that the store lists.
     pub(crate) fn directory(&self) -> MutexGuard<'_, EndpointDirectory> {
-        self.directory.lock().expect("no holder of the lock panics")
+        self.directory.lock()
     }
 
     /// Locks the counter of requests that began to run.
     pub(crate) fn usage_counter(&self) -> MutexGuard<'_, UsageCounter> {
-        self.usage_counter.lock().expect("no holder of the lock panics")
+        self.usage_counter.lock()
     }
 
     /// Locks the requests that may crash endpoints.
     pub(crate) fn suspects(&self) -> MutexGuard<'_, SuspectLedger> {
-        self.suspects.lock().expect("no holder of the lock panics")
+        self.suspects.lock()
     }
 
     /// Locks the archive of the suspects. A holder of this lock may lock
     /// [`suspects`](GatewayState::suspects) too, but not the other way round.
     pub(crate) fn archive(&self) -> MutexGuard<'_, SuspectArchive> {
-        self.archive.lock().expect("no holder of the lock panics")
+        self.archive.lock()
     }
 
     /// Locks the prompt parts that may crash endpoints.
     pub(crate) fn part_suspects(&self) -> MutexGuard<'_, PartLedger> {
-        self.part_suspects.lock().expect("no holder of the lock panics")
+        self.part_suspects.lock()
     }
 
     /// Locks the archive of the prompt parts. A holder of this lock may lock
     /// [`part_suspects`](GatewayState::part_suspects) too, but not the other way round.
     pub(crate) fn part_archive(&self) -> MutexGuard<'_, PartArchive> {
-        self.part_archive.lock().expect("no holder of the lock panics")
+        self.part_archive.lock()
     }
 
     /// Locks the software versions that began streams.
     pub(crate) fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
-        self.origins.lock().expect("no holder of the lock panics")
+        self.origins.lock()
     }
 
     /// Locks the view that is shared with other entries.
     pub(crate) fn view(&self) -> MutexGuard<'_, SharedView> {
-        self.view.lock().expect("no holder of the lock panics")
+        self.view.lock()
     }
 
     /// Locks the view and returns its roster of other entries.
@@ -202,7 +207,7 @@
     /// Locks the last usage share of this entry. A holder of this lock may lock
     /// [`view`](GatewayState::view) too, but not the other way round.
     pub(crate) fn last_share(&self) -> MutexGuard<'_, Option<(TimePoint, UsageShare)>> {
-        self.last_share.lock().expect("no holder of the lock panics")
+        self.last_share.lock()
     }
 
     /// Returns the number of entries, including this one.
@@ -213,7 +218,7 @@
     /// Returns this host's wall-clock time in milliseconds since the Unix epoch, without short
     /// jumps.
     pub(crate) fn own_wall_ms(&self) -> u64 {
-        let mut filter = self.clock_filter.lock().expect("no holder of the lock panics");
+        let mut filter = self.clock_filter.lock();
         filter.observe(clock::now(), clock::wall_ms())
     }
 
@@ -306,6 +311,11 @@
         record: &StoreRecord,
         source: &str,
     ) {
+        let apply = || self.apply_decoded(topic, era, record, source);
+        self.metrics.shield_record(topic_name(topic), &record.key, apply);
+    }
+
+    fn apply_decoded(&self, topic: StoreTopic, era: u64, record: &StoreRecord, source: &str) {
         match topic {
             StoreTopic::Config => match (self.store.decode_config)(record) {
                 Ok(Some(config)) => self.apply_config(record, config, source),
@@ -398,7 +408,7 @@
         }
         self.table().limits().set_named_entries(named_entries(settings));
         let new = (settings.retry_ratio, settings.retry_slack);
-        *self.retry_allowance.lock().expect("no holder of the lock panics") = new;
+        *self.retry_allowance.lock() = new;
     }
 
     /// Counts a request for `service`, which adds a fraction of a retry to the service's retry
@@ -420,7 +430,7 @@
 
     fn with_budget<T>(&self, service: &str, decide: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let (ratio, reserve) = self.budget_limits();
-        let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
+        let mut budgets = self.budgets.lock();
         let budget = budgets
             .entry(service.into())
             .or_insert_with(|| RetryBudget::with_limits(ratio, reserve));
@@ -433,7 +443,7 @@
     /// the reserve.
     fn budget_limits(&self) -> (f64, f64) {
         let entries = self.live_entries() as f64;
-        let (ratio, slack) = *self.retry_allowance.lock().expect("no holder of the lock panics");
+        let (ratio, slack) = *self.retry_allowance.lock();
         (ratio * BUDGET_SHARE, slack * BUDGET_SHARE / entries)
     }
 
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -169,7 +169,8 @@
     }
 }
 
-fn topic_name(topic: StoreTopic) -> &'static str {
+/// Returns the name of a topic in logs and metrics.
+pub(crate) fn topic_name(topic: StoreTopic) -> &'static str {
     match topic {
         StoreTopic::Config => "config",
         StoreTopic::Endpoints => "endpoints",
