Leave out records of entries with times that no clock reaches

Usage was never reported again after a duty record with a window at the end of its type: no later window followed it. A marker of stream origins with such a time panicked (origin_marker.rs:241), and without the overflow check no later marker counted as news.

Change: is_readable of what entries keep in the store and tell each other; what none of them can have written is left out and logged. Times that are written stay within the bound.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -319,6 +319,12 @@
     fn apply_duty(&mut self, now: TimePoint, era: u64, record: &StoreRecord) {
         let Some(value) = &record.value else { return };
         match serde_json::from_slice::<DutyRecord>(value) {
+            Ok(duty) if !duty.is_readable(self.state.window_ms()) => {
+                log::warn!(
+                    target: part::DUTY, offset = record.offset;
+                    "usage duty record with impossible figures left out"
+                );
+            }
             Ok(duty) => {
                 let before = self.duty.holder().map(|(holder, _)| holder.clone());
                 let holder = duty.holder.clone();
@@ -345,7 +351,17 @@
         let Some(value) = &record.value else { return };
         match serde_json::from_slice::<Vec<EntryShare>>(value) {
             Ok(shares) => {
-                for share in shares {
+                let count = shares.len();
+                let readable: Vec<EntryShare> =
+                    shares.into_iter().filter(|share| share.usage.is_readable()).collect();
+                if readable.len() < count {
+                    log::warn!(
+                        target: part::DUTY, key = &*record.key, offset = record.offset,
+                        shares = count - readable.len();
+                        "usage shares with impossible figures left out"
+                    );
+                }
+                for share in readable {
                     self.note_peer(now, &share);
                     self.aggregator.take(share.usage);
                 }
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -177,8 +177,11 @@
         self.endpoints.insert(record.key.clone(), cached);
     }
 
-    /// Stores the usage share of a process unless a newer one is known.
+    /// Stores the usage share of a process unless a newer one is known, or no process can have counted it.
     pub(crate) fn take_share(&mut self, share: EntryShare) {
+        if !share.usage.is_readable() {
+            return;
+        }
         let key: Box<str> = share.usage.process.to_string().into();
         let known = self.shares.get(&key);
         if known.is_none_or(|known| known.usage.until_ms <= share.usage.until_ms) {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -37,7 +37,9 @@
             None => Ok(Vec::new()),
             Some(value) => serde_json::from_slice::<Vec<StoredCrash>>(value),
         };
-        let (Ok(crashes), Ok(fingerprint)) = (crashes, u64::from_str_radix(&record.key, 16)) else {
+        let crashes = crashes.ok().filter(|crashes| crashes.iter().all(StoredCrash::is_readable));
+        let (Some(crashes), Ok(fingerprint)) = (crashes, u64::from_str_radix(&record.key, 16))
+        else {
             log::warn!(
                 target: part::FOLLOW, key = &*record.key, offset = record.offset;
                 "crash record unreadable"
@@ -55,7 +57,8 @@
             None => Ok(StoredHistory::default()),
             Some(value) => serde_json::from_slice::<StoredHistory>(value),
         };
-        let (Ok(history), Ok(part)) = (history, u64::from_str_radix(key, 16)) else {
+        let history = history.ok().filter(StoredHistory::is_readable);
+        let (Some(history), Ok(part)) = (history, u64::from_str_radix(key, 16)) else {
             log::warn!(
                 target: part::FOLLOW, key = &*record.key, offset = record.offset;
                 "crash record unreadable"
--- a/crates/kernel/src/duty/record.rs
+++ b/crates/kernel/src/duty/record.rs
@@ -5,8 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    duty::share::is_count,
     ids::{FencingNumber, ProcessId},
-    log_position::LogPosition,
+    log_position::{LogPosition, MAX_ERA},
+    time::MAX_WALL_MS,
 };
 
 /// Final counts of one usage window.
@@ -43,6 +45,17 @@
 }
 
 impl DutyRecord {
+    /// Reports whether a process can have written the record, for windows of `window_ms` milliseconds.
+    pub fn is_readable(&self, window_ms: u64) -> bool {
+        let is_window = |window: u64| {
+            window.checked_mul(window_ms).is_some_and(|begin_ms| begin_ms <= MAX_WALL_MS)
+        };
+        let is_closed = |closed: &ClosedWindow| {
+            is_window(closed.window) && closed.counts.values().all(|count| is_count(*count))
+        };
+        self.era <= MAX_ERA && is_window(self.first_window) && self.windows.iter().all(is_closed)
+    }
+
     /// Returns the fencing number of the holder if the record is at `position`.
     ///
     /// The number is that of the era in which the record was made, also if the record is read again
--- a/crates/kernel/src/duty/share.rs
+++ b/crates/kernel/src/duty/share.rs
@@ -4,11 +4,19 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::ProcessId;
+use crate::{ids::ProcessId, time::MAX_WALL_MS};
 
 /// Number of past windows whose counts a process sends besides those of the current window.
 const KEPT_WINDOWS: u64 = 5;
 
+/// Highest number of requests of one account in a window that a share may state.
+const MAX_COUNT: u64 = 1_000_000_000;
+
+/// Reports whether that many requests of one account can start in a window.
+pub(super) fn is_count(count: u64) -> bool {
+    count <= MAX_COUNT
+}
+
 /// Requests that started to run, by window and client account.
 type WindowCounts = BTreeMap<u64, BTreeMap<Box<str>, u64>>;
 
@@ -24,6 +32,14 @@
     pub counts: WindowCounts,
 }
 
+impl UsageShare {
+    /// Reports whether a process can have counted this.
+    pub fn is_readable(&self) -> bool {
+        let mut counts = self.counts.values().flat_map(BTreeMap::values);
+        self.until_ms <= MAX_WALL_MS && counts.all(|count| is_count(*count))
+    }
+}
+
 /// Counts requests as they start to run.
 #[derive(Clone, Debug)]
 pub struct UsageCounter {
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -8,7 +8,7 @@
         VersionKey, origin_batch,
     },
     suspect::LedgerPosition,
-    time::TimePoint,
+    time::{MAX_WALL_MS, TimePoint},
 };
 
 /// Beginning of the keys of batches of records.
@@ -115,12 +115,18 @@
         }
         if key.starts_with(VERSION_KEY) {
             let served: ServedVersion = serde_json::from_slice(value).map_err(|_| BatchError)?;
+            if !served.is_readable() {
+                return Err(BatchError);
+            }
             let version = VersionKey::new(&served.service, &served.software);
             self.versions.insert(version, served.until_ms);
             return Ok(ArchivedNews::Version(served));
         }
         if key == MARKER_KEY {
             let marker: OriginMarker = serde_json::from_slice(value).map_err(|_| BatchError)?;
+            if !marker.is_readable() {
+                return Err(BatchError);
+            }
             self.marker = Some(marker.clone());
             return Ok(ArchivedNews::Marker(marker));
         }
@@ -166,7 +172,7 @@
             records.push(ArchiveRecord { key: key.clone(), value: Vec::new() });
         }
         let stored_ms = self.marker.as_ref().map_or(0, |stored| stored.written_ms);
-        let written_ms = wall_ms.max(marker.written_ms.saturating_add(1));
+        let written_ms = wall_ms.max(marker.written_ms.saturating_add(1)).min(MAX_WALL_MS);
         // The time alone makes no other marker.
         let same = OriginMarker { written_ms: stored_ms, ..marker.clone() };
         if !marker.spans.is_empty() && self.marker.as_ref() != Some(&same) {
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -4,9 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::stream_origin::{
-    EntryKey, STREAM_LIFE, ShareSpan, SpanAck, StreamKey, VersionKey, VersionShare,
-    version_share::are_alike,
+use crate::{
+    log_position::MAX_ERA,
+    stream_origin::{
+        EntryKey, STREAM_LIFE, ShareSpan, SpanAck, StreamKey, VersionKey, VersionShare,
+        version_share::are_alike,
+    },
+    time::MAX_WALL_MS,
 };
 
 /// Time for which an entry that does not report is remembered, in milliseconds.
@@ -59,6 +63,17 @@
 }
 
 impl OriginMarker {
+    /// Reports whether an entry can have written the marker.
+    pub(super) fn is_readable(&self) -> bool {
+        let of_spans = self
+            .spans
+            .iter()
+            .flat_map(|span| [span.since_ms, span.followed_ms, span.until_ms.unwrap_or_default()]);
+        let of_entries = self.entries.values().map(|entry| entry.until_ms);
+        let mut times = of_spans.chain(of_entries).chain([self.written_ms, self.lost_ms]);
+        self.era <= MAX_ERA && times.all(|time| time <= MAX_WALL_MS)
+    }
+
     /// Returns the time of the newest span or of its being followed, 0 if there is none.
     pub(super) fn newest_ms(&self) -> u64 {
         self.spans.iter().map(ShareSpan::known_ms).max().unwrap_or(0)
@@ -251,7 +266,7 @@
     }
 
     fn open(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) -> &mut ShareSpan {
-        let since_ms = wall_ms.max(self.newest_ms().saturating_add(1));
+        let since_ms = wall_ms.max(self.newest_ms().saturating_add(1)).min(MAX_WALL_MS);
         self.spans.push(ShareSpan::new(service, since_ms, shares));
         self.spans.last_mut().expect("a span was just added")
     }
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -195,9 +195,9 @@
         self.knows_marker = true;
     }
 
-    /// Merges a marker that another entry knows.
+    /// Merges a marker that another entry knows, unless none can have written it.
     pub fn merge_marker(&mut self, marker: Option<&OriginMarker>) {
-        if let Some(marker) = marker {
+        if let Some(marker) = marker.filter(|marker| marker.is_readable()) {
             self.marker.join(marker);
             self.update_sharing();
         }
--- a/crates/kernel/src/stream_origin/version_history.rs
+++ b/crates/kernel/src/stream_origin/version_history.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{route::mix, stream_origin::VersionKey};
+use crate::{route::mix, stream_origin::VersionKey, time::MAX_WALL_MS};
 
 /// Longest time for which a caller waits for a stream, over all its tries.
 pub const STREAM_LIFE: Duration = Duration::from_secs(600);
@@ -23,6 +23,13 @@
     pub until_ms: u64,
 }
 
+impl ServedVersion {
+    /// Reports whether an entry can have noted the version.
+    pub(super) fn is_readable(&self) -> bool {
+        self.until_ms <= MAX_WALL_MS
+    }
+}
+
 /// The versions that an entry tells another one of.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionNews {
@@ -52,8 +59,11 @@
         self.merge(&ServedVersion { service, software, until_ms });
     }
 
-    /// Merges what another process knew of a version.
+    /// Merges what another process knew of a version, unless none can have noted it.
     pub fn merge(&mut self, served: &ServedVersion) {
+        if !served.is_readable() {
+            return;
+        }
         let key = VersionKey::new(&served.service, &served.software);
         let row = self.rows.entry(key).or_insert_with(|| served.clone());
         row.until_ms = row.until_ms.max(served.until_ms);
--- a/crates/kernel/src/suspect/archive.rs
+++ b/crates/kernel/src/suspect/archive.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     suspect::{CrashEvidence, CrashRecord, SuspectLedger},
-    time::{TimePoint, millis},
+    time::{MAX_WALL_MS, TimePoint, millis},
 };
 
 /// Maximum number of requests that are written at once.
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Reports whether a process can have written the record.
+    pub fn is_readable(&self) -> bool {
+        self.at_ms <= MAX_WALL_MS
+    }
+
     /// Reports whether both describe the same crash and evidence; the times of processes differ.
     fn is_equivalent(&self, other: &StoredCrash) -> bool {
         self.endpoint == other.endpoint
--- a/crates/kernel/src/suspect/part_archive.rs
+++ b/crates/kernel/src/suspect/part_archive.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     suspect::{CrashEvidence, PartCrash, PartHistory, PartLedger},
-    time::{TimePoint, millis},
+    time::{MAX_WALL_MS, TimePoint, millis},
 };
 
 /// Maximum number of parts that are written at once.
@@ -51,6 +51,12 @@
 }
 
 impl StoredHistory {
+    /// Reports whether a process can have written the history.
+    pub fn is_readable(&self) -> bool {
+        let mut times = self.crashes.iter().map(|crash| crash.at_ms).chain(self.completed_ms);
+        times.all(|at_ms| at_ms <= MAX_WALL_MS)
+    }
+
     fn new(history: &PartHistory, wall_ms: u64) -> StoredHistory {
         let at_ms = |age: Duration| wall_ms.saturating_sub(millis(age));
         let counted: Vec<&PartCrash> = history.counted().collect();
--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -36,7 +36,7 @@
         PartCrash, PartHistory, PartLedger, StoredCrash, StoredHistory, StoredPartCrash,
         SuspectArchive, SuspectLedger, SuspectLimits,
     },
-    time::TimePoint,
+    time::{MAX_WALL_MS, TimePoint},
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -60,8 +60,9 @@
     fn u64(&mut self) -> u64 {
         let near = u64::from(self.draw::<u8>() % 3);
         let signed = u64::MAX / 2;
-        let ends = [near, u64::MAX - near, signed + near, signed - near, WALL_MS + near];
-        let ends = [ends.as_slice(), &[u64::from(u32::MAX) + near, WALL_MS / WINDOW_MS]].concat();
+        let beyond = [u64::MAX - near, signed + near, u64::from(u32::MAX) + near];
+        let within = [near, WALL_MS + near, WALL_MS / WINDOW_MS, MAX_WALL_MS - near];
+        let ends = [beyond.as_slice(), &within, &within, &within].concat();
         *self.0.choose(&ends).unwrap()
     }
 
@@ -599,3 +600,66 @@
         }
     });
 }
+
+/// Guards against a time that no clock reaches, which would keep all later words from counting.
+#[test]
+fn records_of_times_that_no_clock_reaches_are_not_taken() {
+    let odd_times = [u64::MAX, u64::MAX - 1, u64::MAX / 2, MAX_WALL_MS + 1];
+    for odd in odd_times {
+        let mut origins = StreamOrigins::new("entry", 1);
+        let sound = OriginMarker { written_ms: WALL_MS, ..OriginMarker::default() };
+        let span = |since_ms, followed_ms, until_ms| ShareSpan {
+            service: "app".into(),
+            since_ms,
+            is_announced: false,
+            followed_ms,
+            until_ms,
+            lacks_records: false,
+            shares: Vec::new(),
+        };
+        let entry = MarkedEntry { run: 1, is_missing: false, until_ms: odd };
+        let markers = [
+            OriginMarker { written_ms: odd, ..sound.clone() },
+            OriginMarker { lost_ms: odd, ..sound.clone() },
+            OriginMarker { era: odd, ..sound.clone() },
+            OriginMarker { spans: vec![span(odd, 0, None)], ..sound.clone() },
+            OriginMarker { spans: vec![span(1, odd, None)], ..sound.clone() },
+            OriginMarker { spans: vec![span(1, 0, Some(odd))], ..sound.clone() },
+            OriginMarker { entries: [(EntryKey(1), entry)].into(), ..sound.clone() },
+        ];
+        for marker in markers {
+            let value = serde_json::to_vec(&marker).unwrap();
+            assert!(origins.take_archived(NOW, "marker", &value).is_err(), "{marker:?}");
+            origins.merge_marker(Some(&marker));
+            assert_eq!(origins.marker_ms(), 0, "{marker:?}");
+        }
+        let served = ServedVersion { service: "app".into(), software: "v".into(), until_ms: odd };
+        let value = serde_json::to_vec(&served).unwrap();
+        assert!(origins.take_archived(NOW, "version.1", &value).is_err());
+        origins.merge_versions(&VersionNews { digest: 1, versions: vec![served] });
+        assert!(origins.version_news(1).versions.is_empty());
+        origins.merge_marker(Some(&sound));
+        assert_eq!(origins.marker_ms(), WALL_MS);
+
+        let process = ProcessId { name: "other".into(), incarnation: odd };
+        let counts = BTreeMap::from([("a".into(), odd)]);
+        let (none, window) = (BTreeMap::new(), WALL_MS / WINDOW_MS);
+        let share = |until_ms, counts| UsageShare { process: process.clone(), until_ms, counts };
+        assert!(share(WALL_MS, BTreeMap::from([(odd, none.clone())])).is_readable());
+        assert!(!share(odd, BTreeMap::new()).is_readable());
+        assert!(!share(WALL_MS, BTreeMap::from([(1, counts.clone())])).is_readable());
+        let duty = |first_window, era, window, counts| DutyRecord {
+            holder: process.clone(),
+            fencing: None,
+            windows: vec![ClosedWindow { window, counts }],
+            released: false,
+            era,
+            first_window,
+        };
+        assert!(duty(window, 1, window, none.clone()).is_readable(WINDOW_MS));
+        assert!(!duty(odd, 1, window, none.clone()).is_readable(WINDOW_MS));
+        assert!(!duty(window, odd, window, none.clone()).is_readable(WINDOW_MS));
+        assert!(!duty(window, 1, odd, none).is_readable(WINDOW_MS));
+        assert!(!duty(window, 1, window, counts).is_readable(WINDOW_MS));
+    }
+}
