Take no era, offset or clock of a peer that no entry can have

One message of another entry with such a figure kept an entry from all that followed: an era at the end of its type made every later answer outdated, an offset made every later record known, a clock moved the entry's own by as much or panicked (shared_view.rs:467, attempt to subtract with overflow).

Change: such an answer is left out and logged; eras and clocks of reports are ignored beyond their bounds; sums of entries, skews and windows saturate.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -248,7 +248,7 @@
     /// Returns the number of the oldest window whose report can still be sent in time.
     fn oldest_reportable_window(&self) -> u64 {
         let due = self.state.settings.usage_due.as_millis() as u64 / self.state.window_ms();
-        (self.state.wall_ms() / self.state.window_ms()).saturating_sub(due + 1)
+        (self.state.wall_ms() / self.state.window_ms()).saturating_sub(due.saturating_add(1))
     }
 
     /// Reports whether the duty record has to be read now, because a window may have to be closed or
@@ -265,7 +265,8 @@
             && now.since(self.state.started) >= FIRST_READ_DELAY
             && self.turn.is_due(now, role, entries, random);
         let current = self.state.wall_ms() / self.state.window_ms();
-        let has_unclosed_window = self.duty.last_closed().is_none_or(|last| last + 1 < current);
+        let has_unclosed_window =
+            self.duty.last_closed().is_none_or(|last| last.saturating_add(1) < current);
         let is_holder = self.duty.holder().is_some_and(|(holder, _)| *holder == self.state.process);
         let serves_others = self.state.view().serves_others(now);
         let is_standby = self.state.roster().is_standby(now);
@@ -300,7 +301,9 @@
             metrics.shield_record("duty", &record.key, apply);
         }
         self.duty.skip_to(now, LogPosition { era: newest.era, offset: newest.end });
-        if has_returned && self.duty.last_closed().is_some_and(|last| last + 1 >= current) {
+        if has_returned
+            && self.duty.last_closed().is_some_and(|last| last.saturating_add(1) >= current)
+        {
             log::warn!(
                 target: part::DUTY, era = newest.era, before_window = current;
                 "usage windows left out"
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -76,3 +76,7 @@
 mod work_guard;
 
 pub use self::error::GatewayError;
+
+#[cfg(test)]
+#[path = "../tests/peer_messages/mod.rs"]
+mod peer_messages;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -15,11 +15,13 @@
     duty::UsageShare,
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
+    log_position::{MAX_ERA, MAX_OFFSET},
     send_limit::{LimitAnswer, LimitReport},
     stream_origin::{
         OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, OriginRecord, SpanAck, VersionNews,
     },
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
+    time::MAX_WALL_MS,
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -196,6 +198,17 @@
     pub(crate) knows_suspects: bool,
 }
 
+impl EntryUpdate {
+    /// Reports whether an entry can have sent the answer.
+    pub(crate) fn is_readable(&self) -> bool {
+        let mut offsets = self.endpoints.iter().map(|record| record.offset);
+        self.era <= MAX_ERA
+            && self.wall_ms <= MAX_WALL_MS
+            && self.endpoints_next.is_none_or(|next| next <= MAX_OFFSET)
+            && offsets.all(|offset| offset <= MAX_OFFSET)
+    }
+}
+
 /// Which changes of a ledger two entries know of each other.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct KnownChanges {
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -7,7 +7,8 @@
         GroupLoad, HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
         StoreFollower,
     },
-    time::TimePoint,
+    log_position::MAX_ERA,
+    time::{MAX_WALL_MS, TimePoint, signed_span_ms},
 };
 
 use crate::{
@@ -234,6 +235,9 @@
     pub(crate) fn note_era(&self, era: u64, source: &str) -> EraChange {
         let before = {
             let mut view = self.view();
+            if era > MAX_ERA {
+                return EraChange::Outdated;
+            }
             match era.cmp(&view.era) {
                 Ordering::Equal => return EraChange::Same,
                 Ordering::Less => return EraChange::Outdated,
@@ -374,8 +378,11 @@
             let current_at = now - Duration::from_millis(report.store_age_ms);
             view.follower.note_report(now, report.peer, current_at);
         }
+        let has_clock = report.wall_ms <= MAX_WALL_MS;
         if let Some(group) = report.group {
-            view.clocks.take(now, &report.process, report.wall_ms, own_wall_ms);
+            if has_clock {
+                view.clocks.take(now, &report.process, report.wall_ms, own_wall_ms);
+            }
             view.load_aggregator.take(now, report.process.clone(), group.load);
         }
         for share in report.shares {
@@ -427,6 +434,14 @@
         from_hub: bool,
     ) {
         let now = clock::now();
+        if !update.is_readable() {
+            log::warn!(
+                target: part::PEER, peer = from.to_string(), era = update.era,
+                wall_ms = update.wall_ms;
+                "peer's answer with impossible figures left out"
+            );
+            return;
+        }
         if let Some(record) = update.config {
             self.apply_record(StoreTopic::Config, update.era, &record.into(), "peer");
         }
@@ -464,7 +479,7 @@
         if from_hub {
             self.view().load_aggregator.take_from_hub(now, update.load);
             self.table().take_strict_counts(now, &update.strict_counts);
-            self.set_clock_skew(update.wall_ms as i64 - self.own_wall_ms() as i64);
+            self.set_clock_skew(signed_span_ms(update.wall_ms, self.own_wall_ms()));
             self.note_others_load();
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -57,7 +57,7 @@
 
 /// Minimum clock skew that is corrected, in milliseconds. Wall clocks are close to true time, and
 /// the delay of an exchange between entries is smaller than this value.
-const MIN_CLOCK_SKEW_MS: i64 = 250;
+const MIN_CLOCK_SKEW_MS: u64 = 250;
 
 /// Shared state of an entry.
 #[derive(Debug)]
@@ -231,7 +231,7 @@
     /// host's wall clock. A skew below [`MIN_CLOCK_SKEW_MS`] counts as 0, because the delay of a
     /// message can cause it.
     pub(crate) fn set_clock_skew(&self, skew_ms: i64) {
-        let skew_ms = if skew_ms.abs() < MIN_CLOCK_SKEW_MS { 0 } else { skew_ms };
+        let skew_ms = if skew_ms.unsigned_abs() < MIN_CLOCK_SKEW_MS { 0 } else { skew_ms };
         let before = self.clock_skew.swap(skew_ms, Ordering::Relaxed);
         if (before == 0) != (skew_ms == 0) {
             log::warn!(target: part::PEER, skew_ms = skew_ms; "wall clock differs from most others");
@@ -245,7 +245,7 @@
         let others = self.view().load_aggregator.others(now);
         self.table().note_others(now, &others.rows);
         if now.since(self.started) >= DISCOVERY_TIME {
-            let count = self.view().entry_count.note(now, others.entries + 1);
+            let count = self.view().entry_count.note(now, others.entries.saturating_add(1));
             self.live_entries.store(count as usize, Ordering::Relaxed);
         }
     }
@@ -483,7 +483,7 @@
         log::info!(
             target: part::REQUEST,
             request = request, endpoint = name, cause = notice.label(),
-            until_ms = span.map_or(-1, |span| (noted_ms + span) as i64);
+            until_ms = span.map_or(-1, |span| noted_ms.saturating_add(span) as i64);
             "endpoint excluded"
         );
         self.metrics.note_exclusion(notice.label());
--- /dev/null
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -0,0 +1,283 @@
+//! Messages of other entries with any figures that their types allow.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::HeaderMap;
+use pimentorock_kernel::{
+    hub::KnownEntry,
+    log_position::LogPosition,
+    place::{EndpointEntry, EndpointRecord, PlacedRequest},
+    send_limit::{GrantRow, LimitAnswer, LimitReport, LimitScope, TicketLot},
+    stream_origin::{OriginQuestion, StreamKey, VersionNews},
+    suspect::{CrashRecord, PartDelta, PartHistory, SuspectDelta, SuspectTable},
+};
+
+use crate::{
+    clock,
+    peer::{EntryReport, EntryShare, EntryUpdate, GroupReport, KnownLedgers, LimitUpdate},
+    settings::GatewaySettings,
+    state::GatewayState,
+    state_lock::recovered_locks,
+    store::{FleetStore, StoreError, StoreRecord},
+    wire::{CallerHead, ResponseHead, WireCodec},
+};
+
+#[path = "../../../kernel/tests/figure_source/mod.rs"]
+mod figure_source;
+
+use figure_source::FigureSource;
+
+const OWN: ([u8; 4], u16) = ([10, 0, 0, 5], 1);
+
+fn state() -> GatewayState {
+    let address = SocketAddr::from(OWN);
+    let settings = GatewaySettings {
+        name: "entry".into(),
+        domain: "a".into(),
+        callers: address,
+        ready: address,
+        peers: address,
+        seeds: Vec::new(),
+        metrics_port: 0,
+        memory: None,
+        grace: Duration::from_secs(8),
+        retry_ratio: 0.2,
+        retry_slack: 50.0,
+        usage_window: Duration::from_secs(5),
+        usage_due: Duration::from_secs(10),
+        usage_lease: Duration::from_secs(3),
+    };
+    let codec = WireCodec {
+        caller_head: |_| CallerHead::default(),
+        request_headers: |_, _| HeaderMap::new(),
+        response_head: |_| ResponseHead::default(),
+        response_headers: |_| HeaderMap::new(),
+        retry_after: |_, _| {},
+        ready_path: "/ready",
+    };
+    let store = FleetStore {
+        read: Box::new(|_, _, _| Box::pin(async { Err(StoreError::Trimmed) })),
+        newest: Box::new(|_| Box::pin(async { Err(StoreError::Trimmed) })),
+        append: Box::new(|_, _, _| Box::pin(async { Ok(LogPosition { era: 0, offset: 0 }) })),
+        report: Box::new(|_, _| Box::pin(async { Ok(()) })),
+        decode_config: |_| Ok(None),
+        decode_endpoint,
+    };
+    GatewayState::new(settings, codec, store)
+}
+
+/// Decodes any record as one of an endpoint of the key.
+fn decode_endpoint(record: &StoreRecord) -> Result<EndpointRecord, StoreError> {
+    let entry = EndpointEntry {
+        service: "app".into(),
+        address: SocketAddr::from(OWN),
+        domain: "a".into(),
+        software: record.key.clone(),
+        slots: 8,
+        leaving: false,
+        started_ms: None,
+    };
+    Ok(EndpointRecord { entry, heartbeat: 1 })
+}
+
+impl FigureSource {
+    fn suspects(&mut self) -> SuspectDelta {
+        let crash = |source: &mut FigureSource| CrashRecord {
+            endpoint: source.name(),
+            crash_id: source.u64(),
+            age: source.span(),
+            evidence: source.evidence(),
+        };
+        let mut suspects = SuspectTable::new();
+        suspects.merge_records(u64::from(self.draw::<u8>() % 3), &self.list(crash));
+        SuspectDelta { position: self.position(), suspects }
+    }
+
+    fn parts(&mut self) -> PartDelta {
+        let history = |source: &mut FigureSource| {
+            let crashes = source.list(FigureSource::part_crash);
+            let completed = if source.draw() { Some(source.span()) } else { None };
+            (u64::from(source.draw::<u8>() % 3), PartHistory { crashes, completed })
+        };
+        let histories = self.list(history).into_iter().collect();
+        PartDelta { position: self.position(), histories }
+    }
+
+    fn entry(&mut self) -> KnownEntry {
+        let domain = if self.draw() { Some(self.name()) } else { None };
+        KnownEntry { address: self.address(), domain, age_ms: self.u32() }
+    }
+
+    fn versions(&mut self) -> VersionNews {
+        VersionNews { digest: self.u64(), versions: self.list(FigureSource::served) }
+    }
+
+    fn optional(&mut self) -> Option<u64> {
+        if self.draw() { Some(self.u64()) } else { None }
+    }
+
+    fn report(&mut self) -> EntryReport {
+        let limits = LimitReport {
+            term: self.u32(),
+            seen: self.position(),
+            news: self.list(FigureSource::limit_row),
+            is_full: self.draw(),
+            holdings: self.list(FigureSource::holding),
+        };
+        let group = GroupReport {
+            load: self.load(),
+            limits: if self.draw() { Some(limits) } else { None },
+            spans: self.ack(),
+            knows_limits: self.draw(),
+            present: self.u32(),
+        };
+        let share = |source: &mut FigureSource| EntryShare {
+            peer: source.address(),
+            usage: source.usage(),
+        };
+        EntryReport {
+            process: self.process(),
+            peer: self.address(),
+            domain: self.name(),
+            group: if self.draw() { Some(group) } else { None },
+            shares: self.list(share),
+            era: self.u64(),
+            store_age_ms: self.u64(),
+            config_version: self.optional(),
+            endpoints_next: self.optional(),
+            wall_ms: self.u64(),
+            wants_entries: self.draw(),
+            entries: self.list(FigureSource::entry),
+            suspects: self.suspects(),
+            suspects_seen: self.position(),
+            part_suspects: self.parts(),
+            part_suspects_seen: self.position(),
+            origins: self.origins(),
+            versions: self.versions(),
+            marker_ms: self.u64(),
+        }
+    }
+
+    fn update(&mut self) -> EntryUpdate {
+        let record = |source: &mut FigureSource| {
+            let record = StoreRecord {
+                offset: source.u64(),
+                key: source.name(),
+                value: Some(vec![1].into()),
+            };
+            record.into()
+        };
+        let lot = |source: &mut FigureSource| TicketLot {
+            rank: source.draw(),
+            count: source.u32(),
+            life_ms: source.u32(),
+        };
+        let grant = |source: &mut FigureSource| GrantRow {
+            scope: LimitScope::endpoint("i-0"),
+            lots: source.list(lot),
+            wanted: source.u32(),
+        };
+        let answer = LimitAnswer {
+            position: self.position(),
+            serial: self.u64(),
+            news: self.list(FigureSource::limit_row),
+            grants: self.list(grant),
+        };
+        let answer = if self.draw() { Some(answer) } else { None };
+        let era = self.u64();
+        EntryUpdate {
+            store_age_ms: self.u64(),
+            reader: Some(self.address()),
+            era: if self.draw() { era % 3 } else { era },
+            config: None,
+            endpoints: self.list(record),
+            endpoints_next: self.optional(),
+            load: self.load(),
+            strict_counts: self.list(|source| (source.name(), source.u32())),
+            wall_ms: self.u64(),
+            entries: self.list(FigureSource::entry),
+            suspects: self.suspects(),
+            part_suspects: self.parts(),
+            limits: LimitUpdate { answer, fleet: self.u32(), knows: self.draw() },
+            origins: self.position(),
+            versions: self.versions(),
+            marker: if self.draw() { Some(self.marker()) } else { None },
+            knows_marker: self.draw(),
+            group_entries: self.u64(),
+            knows_suspects: self.draw(),
+        }
+    }
+}
+
+/// Guards against an entry that one message of another one ends, or after which its locks are lost.
+#[test]
+fn messages_of_other_entries_may_state_any_figures() {
+    for seed in 0..300 {
+        let (mut source, state) = (FigureSource::new(seed), state());
+        for _ in 0..6 {
+            let _ = state.handle_report(source.report());
+            let _ = state.report(Vec::new(), true, KnownLedgers::default());
+            let from = source.address();
+            state.apply_update(from, clock::now(), source.update(), source.draw());
+            state.note_others_load();
+            state.note_clocks();
+            state.step_origins();
+            state.take_urgent_origins(source.origins().records);
+            let question = OriginQuestion {
+                stream: Some(StreamKey(source.u64())),
+                services: vec!["app".into()],
+            };
+            let origins = state.origins();
+            let _ = origins.find(clock::now(), clock::now(), clock::now(), &question);
+            drop(origins);
+            let request = PlacedRequest { service: "app".into(), ..PlacedRequest::default() };
+            let _ = state.table().choose(clock::now(), &request, &[]);
+            let _ = state.is_ready();
+        }
+    }
+    assert_eq!(recovered_locks(), 0);
+}
+
+/// Guards against a message whose era, offset or time keeps an entry from all that others tell it later.
+#[test]
+fn a_message_at_the_end_of_its_types_holds_off_no_later_one() {
+    for odd in [u64::MAX, u64::MAX / 2, u64::from(u32::MAX) + 1, 1 << 53] {
+        let (state, from) = (state(), SocketAddr::from(([10, 0, 0, 1], 1)));
+        let record = |offset: u64, key: &str| {
+            let value = Some(vec![1].into());
+            StoreRecord { offset, key: key.into(), value }.into()
+        };
+        let is_wall = odd <= 1 << 53;
+        let update = EntryUpdate {
+            era: odd,
+            endpoints: vec![record(odd, "i-0")],
+            endpoints_next: Some(odd),
+            wall_ms: if is_wall { 0 } else { odd },
+            ..EntryUpdate::default()
+        };
+        state.apply_update(from, clock::now(), update, !is_wall);
+        assert_eq!(state.view().era, 0, "{odd}");
+        let odd_offset = odd.max(1 << 53);
+        let update = EntryUpdate {
+            endpoints: vec![record(odd_offset, "i-0")],
+            endpoints_next: Some(odd_offset),
+            ..EntryUpdate::default()
+        };
+        state.apply_update(from, clock::now(), update, false);
+        let update = EntryUpdate {
+            endpoints: vec![record(3, "i-0")],
+            endpoints_next: Some(4),
+            ..EntryUpdate::default()
+        };
+        state.apply_update(from, clock::now(), update, false);
+        assert!(state.directory().entry("i-0").is_some(), "{odd}");
+        let report = state.report(Vec::new(), false, KnownLedgers::default());
+        assert_eq!((report.era, report.endpoints_next), (0, Some(4)), "{odd}");
+        assert!(report.wall_ms.abs_diff(clock::wall_ms()) < 1_000, "{odd}");
+        assert!(state.wall_ms().abs_diff(clock::wall_ms()) < 1_000, "{odd}");
+        let mut report = report;
+        (report.era, report.wall_ms) = (odd, odd);
+        let _ = state.handle_report(report);
+        assert_eq!(state.view().era, 0, "{odd}");
+    }
+}
