End a stream without its mark of completeness with an error

A caller that read nothing for over two seconds while its stream was broken off got the rest of the buffers and a proper end: 4.8 MB of 20 MB looked complete. So did a stream whose relay panicked.

Cause: the error is a last frame, which is dropped when the caller's buffer stays full for ABORT_TIMEOUT; a channel that is closed meant the end of the body.

Change: the relay marks a body as complete; a body that ends without the mark ends with an error.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,6 +70,7 @@
 mod state;
 pub mod state_lock;
 pub mod store;
+mod stream_frames;
 mod suspects;
 mod topic_reader;
 pub mod wire;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
     fleet_config::{RouteKind, RouteSpec},
     logs::part,
     message_buffers::{HeldMessage, MessageBuffer},
+    stream_frames::{CompletionMark, StreamFrames},
 };
 
 /// Number of stream frames that are buffered for a slow caller.
@@ -73,7 +74,7 @@
     Complete(HeldMessage),
     /// A streamed body. An error in it closes the connection, so that the caller can detect the
     /// truncation.
-    Stream(mpsc::Receiver<Result<Bytes, TruncatedResponse>>),
+    Stream(StreamFrames),
 }
 
 impl Body for CallerBody {
@@ -90,7 +91,7 @@
                 Poll::Ready(message.take_part(PART_BYTES).map(|part| Ok(Frame::data(part))))
             }
             CallerBody::Stream(frames) => {
-                frames.poll_recv(cx).map(|frame| frame.map(|bytes| bytes.map(Frame::data)))
+                frames.poll_next(cx).map(|frame| frame.map(|bytes| bytes.map(Frame::data)))
             }
         }
     }
@@ -329,9 +330,11 @@
     let status = response.parts.status;
     let last_event = dispatcher.request.last_event.clone();
     let framing = response.framing;
-    let relay = StreamRelay { dispatcher, frames, framing, last_event, progress: None };
+    let mark = CompletionMark::default();
+    let body = StreamFrames::new(receiver, mark.clone());
+    let relay = StreamRelay { dispatcher, frames, mark, framing, last_event, progress: None };
     tokio::spawn(relay.run(response));
-    let mut response = Response::new(CallerBody::Stream(receiver));
+    let mut response = Response::new(CallerBody::Stream(body));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
@@ -353,6 +356,7 @@
 struct StreamRelay {
     dispatcher: RequestDispatcher,
     frames: mpsc::Sender<Result<Bytes, TruncatedResponse>>,
+    mark: CompletionMark,
     /// Framing of the last response.
     framing: BodyFraming,
     /// Identifier of the last event that was sent to the caller; `None` if there is none.
@@ -395,6 +399,7 @@
                     if !head.closes {
                         self.dispatcher.state.pool.put(&work.instance.name, body.connection);
                     }
+                    self.mark.set();
                     return self.finish("served");
                 }
                 RelayEnd::CallerGone => return self.finish("caller_gone"),
@@ -564,7 +569,7 @@
             "stream broken off"
         );
         self.finish("broken_off");
-        // If the caller reads nothing within the timeout, the error is not delivered.
+        // If the caller reads nothing within the timeout, the error follows what it has not read yet.
         let _ = tokio::time::timeout(ABORT_TIMEOUT, self.frames.send(Err(TruncatedResponse))).await;
     }
 }
