--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,11 +1,12 @@
 //! A pool of idle connections to endpoints.
 
-use std::{collections::HashMap, sync::Mutex, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
     connection::{ConnectionError, HttpConnection},
     crash_checks::EndpointInstance,
     run_statement::RunStatement,
+    state_lock::StateLock,
 };
 
 /// Idle limit of a connection if its endpoint states none.
@@ -35,7 +36,7 @@
 /// another endpoint, or another run of the same one, may have it later.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
-    idle: Mutex<HashMap<EndpointInstance, Vec<HttpConnection>>>,
+    idle: StateLock<HashMap<EndpointInstance, Vec<HttpConnection>>>,
 }
 
 impl ConnectionPool {
@@ -60,7 +61,7 @@
         instance: &EndpointInstance,
         needs: ConnectionNeeds,
     ) -> Option<HttpConnection> {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         let connections = idle.get_mut(instance)?;
         connections.retain(|connection| {
             !connection.is_closed() && connection.idle() < usable_idle_time(connection)
@@ -77,7 +78,7 @@
     /// Returns a connection whose response was read to its end to the pool.
     pub(crate) fn put(&self, instance: &EndpointInstance, mut connection: HttpConnection) {
         connection.touch();
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         let connections = idle.entry(instance.clone()).or_default();
         if connections.len() < MAX_IDLE {
             connections.push(connection);
@@ -86,19 +87,19 @@
 
     /// Closes all idle connections to an endpoint.
     pub(crate) fn forget(&self, name: &str) {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         idle.retain(|instance, _| *instance.name != *name);
     }
 
     /// Closes the idle connections to all runs of an endpoint but the one that started at `started_ms`.
     pub(crate) fn forget_other_runs(&self, name: &str, started_ms: Option<u64>) {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         idle.retain(|instance, _| *instance.name != *name || instance.started_ms == started_ms);
     }
 
     /// Closes the idle connections that may not be reused.
     pub(crate) fn prune(&self) {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let mut idle = self.idle.lock();
         for connections in idle.values_mut() {
             connections.retain(|connection| {
                 !connection.is_closed() && connection.idle() < usable_idle_time(connection)
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -248,7 +248,7 @@
     /// Returns the number of the oldest window whose report can still be sent in time.
     fn oldest_reportable_window(&self) -> u64 {
         let due = self.state.settings.usage_due.as_millis() as u64 / self.state.window_ms();
-        (self.state.wall_ms() / self.state.window_ms()).saturating_sub(due + 1)
+        (self.state.wall_ms() / self.state.window_ms()).saturating_sub(due.saturating_add(1))
     }
 
     /// Reports whether the duty record has to be read now, because a window may have to be closed or
@@ -265,7 +265,8 @@
             && now.since(self.state.started) >= FIRST_READ_DELAY
             && self.turn.is_due(now, role, entries, random);
         let current = self.state.wall_ms() / self.state.window_ms();
-        let has_unclosed_window = self.duty.last_closed().is_none_or(|last| last + 1 < current);
+        let has_unclosed_window =
+            self.duty.last_closed().is_none_or(|last| last.saturating_add(1) < current);
         let is_holder = self.duty.holder().is_some_and(|(holder, _)| *holder == self.state.process);
         let serves_others = self.state.view().serves_others(now);
         let is_standby = self.state.roster().is_standby(now);
@@ -294,11 +295,15 @@
         let current = self.state.wall_ms() / self.state.window_ms();
         let has_returned = self.has_read && newest.era > self.duty.end().era;
         self.duty.enter_era(now, newest.era, current);
+        let metrics = self.state.metrics.clone();
         for record in &newest.records {
-            self.apply_duty(now, newest.era, record);
+            let apply = || self.apply_duty(now, newest.era, record);
+            metrics.shield_record("duty", &record.key, apply);
         }
         self.duty.skip_to(now, LogPosition { era: newest.era, offset: newest.end });
-        if has_returned && self.duty.last_closed().is_some_and(|last| last + 1 >= current) {
+        if has_returned
+            && self.duty.last_closed().is_some_and(|last| last.saturating_add(1) >= current)
+        {
             log::warn!(
                 target: part::DUTY, era = newest.era, before_window = current;
                 "usage windows left out"
@@ -307,7 +312,9 @@
         self.has_read = true;
         let shares = (self.state.store.newest)(StoreTopic::Shares).await;
         self.state.metrics.note_store_call("shares", shares.is_ok());
-        self.apply_shares(&shares?.records);
+        for record in &shares?.records {
+            metrics.shield_record("shares", &record.key, || self.apply_shares(record));
+        }
         self.shares_read_at = now;
         Ok(())
     }
@@ -315,6 +322,12 @@
     fn apply_duty(&mut self, now: TimePoint, era: u64, record: &StoreRecord) {
         let Some(value) = &record.value else { return };
         match serde_json::from_slice::<DutyRecord>(value) {
+            Ok(duty) if !duty.is_readable(self.state.window_ms()) => {
+                log::warn!(
+                    target: part::DUTY, offset = record.offset;
+                    "usage duty record with impossible figures left out"
+                );
+            }
             Ok(duty) => {
                 let before = self.duty.holder().map(|(holder, _)| holder.clone());
                 let holder = duty.holder.clone();
@@ -336,22 +349,30 @@
         }
     }
 
-    fn apply_shares(&mut self, records: &[StoreRecord]) {
+    fn apply_shares(&mut self, record: &StoreRecord) {
         let now = clock::now();
-        for record in records {
-            let Some(value) = &record.value else { continue };
-            match serde_json::from_slice::<Vec<EntryShare>>(value) {
-                Ok(shares) => {
-                    for share in shares {
-                        self.note_peer(now, &share);
-                        self.aggregator.take(share.usage);
-                    }
+        let Some(value) = &record.value else { return };
+        match serde_json::from_slice::<Vec<EntryShare>>(value) {
+            Ok(shares) => {
+                let count = shares.len();
+                let readable: Vec<EntryShare> =
+                    shares.into_iter().filter(|share| share.usage.is_readable()).collect();
+                if readable.len() < count {
+                    log::warn!(
+                        target: part::DUTY, key = &*record.key, offset = record.offset,
+                        shares = count - readable.len();
+                        "usage shares with impossible figures left out"
+                    );
                 }
-                Err(error) => {
-                    let error = error.to_string();
-                    log::warn!(target: part::DUTY, error = error; "cannot decode the usage shares");
+                for share in readable {
+                    self.note_peer(now, &share);
+                    self.aggregator.take(share.usage);
                 }
             }
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(target: part::DUTY, error = error; "cannot decode the usage shares");
+            }
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
   sends the request to endpoints until one of them responds (`choice_log` and `crash_refusals` belong to
   it); `relay` forwards the response to the
   caller.
-* `state` holds what all requests share: the current `route_table`, the endpoints and the retry
+* `state` holds what all requests share, each behind a [`state_lock`]; `panic_guard` starts tasks again: the current `route_table`, the endpoints and the retry
   budgets.
 * `run_checks` finds out which run of an endpoint is behind a connection (`run_statement`, `run_doubts`), as the
   version of a stream is a fact of the run that writes it.
@@ -61,6 +61,7 @@
 mod origin_calls;
 mod origin_publisher;
 mod origins;
+mod panic_guard;
 mod peer;
 pub mod process;
 mod ready;
@@ -75,10 +76,16 @@
 pub mod settings;
 mod shared_view;
 mod state;
+pub mod state_lock;
 pub mod store;
+mod stream_frames;
 mod suspects;
 mod topic_reader;
 pub mod wire;
 mod work_guard;
 
 pub use self::error::GatewayError;
+
+#[cfg(test)]
+#[path = "../tests/peer_messages/mod.rs"]
+mod peer_messages;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, MutexGuard},
     time::Duration,
 };
 
@@ -15,11 +15,13 @@
     duty::UsageShare,
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
+    log_position::{MAX_ERA, MAX_OFFSET},
     send_limit::{LimitAnswer, LimitReport},
     stream_origin::{
         OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, OriginRecord, SpanAck, VersionNews,
     },
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
+    time::MAX_WALL_MS,
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -35,7 +37,7 @@
 
 use crate::{
     acceptor::accept_connections, clock, connection, logs::part, state::GatewayState,
-    store::StoreRecord,
+    state_lock::StateLock, store::StoreRecord,
 };
 
 /// Maximum size of one report or update in bytes. An update with the records of some thousand
@@ -198,6 +200,17 @@
     pub(crate) knows_suspects: bool,
 }
 
+impl EntryUpdate {
+    /// Reports whether an entry can have sent the answer.
+    pub(crate) fn is_readable(&self) -> bool {
+        let mut offsets = self.endpoints.iter().map(|record| record.offset);
+        self.era <= MAX_ERA
+            && self.wall_ms <= MAX_WALL_MS
+            && self.endpoints_next.is_none_or(|next| next <= MAX_OFFSET)
+            && offsets.all(|offset| offset <= MAX_OFFSET)
+    }
+}
+
 /// Which changes of a ledger two entries know of each other.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct KnownChanges {
@@ -374,7 +387,7 @@
 /// Open connections to the entries that are asked for the versions of streams.
 #[derive(Debug, Default)]
 pub(crate) struct OriginClients {
-    open: Mutex<HashMap<SocketAddr, GatewayPeerClient>>,
+    open: StateLock<HashMap<SocketAddr, GatewayPeerClient>>,
 }
 
 impl OriginClients {
@@ -433,7 +446,7 @@
     }
 
     fn open(&self) -> MutexGuard<'_, HashMap<SocketAddr, GatewayPeerClient>> {
-        self.open.lock().expect("no holder of the lock panics")
+        self.open.lock()
     }
 }
 
--- a/crates/gateway/src/run_doubts.rs
+++ b/crates/gateway/src/run_doubts.rs
@@ -1,14 +1,10 @@
 //! Endpoints whose run may have ended, as they failed.
 
-use std::{
-    collections::HashMap,
-    sync::{Mutex, MutexGuard},
-    time::Duration,
-};
+use std::{collections::HashMap, sync::MutexGuard, time::Duration};
 
 use pimentorock_kernel::time::TimePoint;
 
-use crate::crash_checks::EndpointInstance;
+use crate::{crash_checks::EndpointInstance, state_lock::StateLock};
 
 /// Time from the first connection to a run until the store lists it.
 pub(crate) const LISTING_TIME: Duration = Duration::from_secs(2);
@@ -26,7 +22,7 @@
 /// does not prove that a connection leads to it.
 #[derive(Debug, Default)]
 pub(crate) struct RunDoubts {
-    doubts: Mutex<HashMap<Box<str>, RunDoubt>>,
+    doubts: StateLock<HashMap<Box<str>, RunDoubt>>,
 }
 
 impl RunDoubts {
@@ -63,6 +59,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Box<str>, RunDoubt>> {
-        self.doubts.lock().expect("no holder of the lock panics")
+        self.doubts.lock()
     }
 }
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -4,9 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::stream_origin::{
-    EntryKey, STREAM_LIFE, ShareSpan, SpanAck, StreamKey, VersionKey, VersionShare,
-    version_share::are_alike,
+use crate::{
+    log_position::MAX_ERA,
+    stream_origin::{
+        EntryKey, STREAM_LIFE, ShareSpan, SpanAck, StreamKey, VersionKey, VersionShare,
+        version_share::are_alike,
+    },
+    time::MAX_WALL_MS,
 };
 
 /// Time for which an entry that does not report is remembered, in milliseconds.
@@ -59,6 +63,17 @@
 }
 
 impl OriginMarker {
+    /// Reports whether an entry can have written the marker.
+    pub(super) fn is_readable(&self) -> bool {
+        let of_spans = self
+            .spans
+            .iter()
+            .flat_map(|span| [span.since_ms, span.followed_ms, span.until_ms.unwrap_or_default()]);
+        let of_entries = self.entries.values().map(|entry| entry.until_ms);
+        let mut times = of_spans.chain(of_entries).chain([self.written_ms, self.lost_ms]);
+        self.era <= MAX_ERA && times.all(|time| time <= MAX_WALL_MS)
+    }
+
     /// Returns the time of the newest span or of its being followed, 0 if there is none.
     pub(super) fn newest_ms(&self) -> u64 {
         self.spans.iter().map(ShareSpan::known_ms).max().unwrap_or(0)
@@ -153,14 +168,15 @@
     /// Lets entries follow the spans that all of them know, whose records the store has, or that were
     /// announced long enough ago.
     fn follow(&mut self, wall_ms: u64, known_ms: u64) {
-        let mut followed_ms = wall_ms.max(self.newest_ms() + 1);
+        let mut followed_ms = wall_ms.max(self.newest_ms().saturating_add(1));
         for span in &mut self.spans {
             let is_open = span.is_announced && span.until_ms.is_none();
-            let is_due = span.since_ms <= known_ms || span.since_ms + MAX_NOTICE_MS <= wall_ms;
+            let is_due =
+                span.since_ms <= known_ms || span.since_ms.saturating_add(MAX_NOTICE_MS) <= wall_ms;
             if is_open && is_due {
                 span.is_announced = false;
                 span.followed_ms = followed_ms;
-                followed_ms += 1;
+                followed_ms = followed_ms.saturating_add(1);
             }
         }
     }
@@ -224,7 +240,7 @@
 
     /// Notes which entries report, and which of them have ended or are missing.
     fn note_entries(&mut self, wall_ms: u64, ack: &SpanAck) {
-        let new_ms = wall_ms + ENTRY_LIFE_MS;
+        let new_ms = wall_ms.saturating_add(ENTRY_LIFE_MS);
         // Clocks differ: what is lost now is lost after the newest span began.
         let lost_ms = wall_ms.max(self.newest_ms());
         for (entry, run) in &ack.entries {
@@ -234,7 +250,7 @@
                 self.lost_ms = lost_ms;
             }
             // Moved on rarely, so that the marker rarely changes.
-            let is_old = marked.until_ms < wall_ms + ENTRY_LIFE_MS / 2;
+            let is_old = marked.until_ms < wall_ms.saturating_add(ENTRY_LIFE_MS / 2);
             let until_ms = if is_old { new_ms } else { marked.until_ms };
             *marked = MarkedEntry { until_ms, ..new };
         }
@@ -255,7 +271,7 @@
     }
 
     fn open(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) -> &mut ShareSpan {
-        let since_ms = wall_ms.max(self.newest_ms() + 1);
+        let since_ms = wall_ms.max(self.newest_ms().saturating_add(1)).min(MAX_WALL_MS);
         self.spans.push(ShareSpan::new(service, since_ms, shares));
         self.spans.last_mut().expect("a span was just added")
     }
@@ -288,10 +304,12 @@
     /// many.
     fn forget(&mut self, wall_ms: u64) {
         let life_ms = STREAM_LIFE.as_millis() as u64;
-        if self.lost_ms + life_ms <= wall_ms {
+        if self.lost_ms.saturating_add(life_ms) <= wall_ms {
             self.lost_ms = 0;
         }
-        self.spans.retain(|span| span.until_ms.is_none_or(|until| until + life_ms > wall_ms));
+        self.spans.retain(|span| {
+            span.until_ms.is_none_or(|until| until.saturating_add(life_ms) > wall_ms)
+        });
         for service in self.services() {
             let is_of = |span: &ShareSpan| *span.service == *service;
             while self.spans.iter().filter(|span| is_of(span)).count() > MAX_SPANS {
