Soak: the third crash of a deadly request is the third run that it ended

Cause: the third arrival counted as the third crash, also where the endpoint refused the request, so that the time within which the cause must be known began before any crash.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -15,7 +15,7 @@
 
 use std::{net::SocketAddr, thread::sleep, time::Duration};
 
-use soak::{EndpointRun, SoakRecorder, StreamCaller};
+use soak::{DeadlyCause, EndpointRun, SoakRecorder, StreamCaller};
 
 const RUN: EndpointRun = EndpointRun { endpoint: 0, run: 0 };
 
@@ -51,6 +51,29 @@
     assert_eq!(recorder.violations(&[], &[]).len(), 1);
 }
 
+/// Records three arrivals of the deadly request that end a run each, or are refused, and then four more after
+/// the time within which the cause must be known.
+fn deadly_violations(are_refused: bool) -> Vec<String> {
+    let recorder = SoakRecorder::default();
+    let arrive = |run: u32| {
+        let run = EndpointRun { endpoint: 0, run };
+        recorder.record_arrival("e0-deadly-0", run, Some(DeadlyCause::Request));
+        if !are_refused {
+            recorder.record_request_crash(run);
+        }
+    };
+    (0..3).for_each(arrive);
+    sleep(Duration::from_millis(3_100));
+    (3..7).for_each(arrive);
+    recorder.violations(&[], &[])
+}
+
+#[test]
+fn refusals_of_a_deadly_request_are_no_crashes() {
+    assert_eq!(deadly_violations(true), Vec::<String>::new());
+    assert_eq!(deadly_violations(false).len(), 1);
+}
+
 #[test]
 fn promises_hold_under_random_faults() {
     soak::run(env!("CARGO_BIN_EXE_pimentorockd"));
