Apply a notice of an endpoint to the run that is listed by the time it comes

Callers saw: requests refused at an entry that had stood still, as it sent 10 to 20 requests in each 0.2 s to an endpoint that refused all of them and had asked for a rest of 30 s.

Cause: a request was placed at a run of an endpoint, the next run was listed under the same name, and the answer, which asked for a rest, came then. The table of exclusions applied the notice to the next run too, as it may have given it, but the placement did not, as the run of the request was no longer listed. Each further notice of the run changed nothing in the table of exclusions, and so never reached the placement, until the record of the endpoint was read again.

Change: after a notice the placement has what the table of exclusions says of the listed run, as it has when a record is read.

Result: a_notice_on_a_request_placed_before_its_run_was_listed_keeps_requests_away failed before (the endpoint was chosen) and passes.

--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -136,12 +136,13 @@
         started_ms: Option<u64>,
         notice: EndpointNotice,
     ) -> Option<TimePoint> {
-        let until = self.exclusions.note(now, noted_ms, name, started_ms, notice)?;
+        let until = self.exclusions.note(now, noted_ms, name, started_ms, notice);
         let state = self.names.get(name).and_then(|key| self.endpoints.get_mut(*key));
-        if let Some(state) = state.filter(|state| state.spec.started_ms == started_ms) {
-            state.excluded_until = until;
+        if let Some(state) = state {
+            // The run that is listed by now may have given the notice.
+            state.excluded_until = self.exclusions.until(name, state.spec.started_ms);
         }
-        Some(until)
+        until
     }
 
     /// Reports whether an endpoint asked to get no requests now.
--- a/crates/kernel/tests/place_exclusion.rs
+++ b/crates/kernel/tests/place_exclusion.rs
@@ -115,6 +115,21 @@
     assert!(table.choose(now, &request, &[]).is_ok());
 }
 
+/// Guards against requests to a run that refused one which was placed before the run was listed.
+#[test]
+fn a_notice_on_a_request_placed_before_its_run_was_listed_keeps_requests_away() {
+    let request = PlacedRequest { service: "chat".into(), ..PlacedRequest::default() };
+    let now = TimePoint::from_millis(1_000);
+    let mut table = PlacementTable::new("a");
+    table.put(endpoint("i-1", 7_000));
+    table.put(endpoint("i-1", 9_000));
+    let rest = EndpointNotice::Rest(Duration::from_secs(30));
+    table.note_notice(now, 9_500, "i-1", Some(7_000), rest);
+    table.note_notice(now, 9_501, "i-1", Some(9_000), rest);
+    let refused = table.choose(now, &request, &[]);
+    assert_eq!(refused, Err(DecisionReason::EndpointsExcluded { millis: 30_000 }));
+}
+
 fn endpoint(name: &str, started_ms: u64) -> PlacedEndpoint {
     PlacedEndpoint {
         name: name.into(),
