Pass endpoints on as one fact of records and position

Callers saw: requests went to endpoints long after their records had been removed, and were cut off when these exited (DRAIN). One of the old entries kept the endpoints until its process ended.

Cause: an entry that starts, or whose next records were deleted, reads the newest record of each key, in which removed keys do not occur. Entries that took records from it set their own offset to its offset, and so stepped over the removals. Class: an offset and the list that it belongs to were two facts, put together from different sources. The same let a read of one era count as one of the next, and a late record bring back what was removed.

Change: place::CopyUpdate holds records, their end and what they prove of other keys; place::EndpointCopy alone moves its position, by applying one. An update continues the receiver's position with all records in between, removals included, or is a list with its position, which shows what is absent. Otherwise nothing changes, and the copy does not count as current. A copy that adopts a list keeps what is different, so that askers need no list. Positions of all followed topics are an era and an offset. The log lines "endpoint list adopted" and "endpoint update does not continue the list", and the metric endpoint_updates, name the cases.

Found by the comparison with the whole log while this was written: updates that arrive late brought removed endpoints back; what changed and changed back between two lists was lost to an asker that had seen the value in between. The test sees a position that is apart from its records.

--- /dev/null
+++ b/crates/gateway/src/endpoints.rs
@@ -0,0 +1,86 @@
+//! Follows the endpoints that the store lists, through the store or other entries.
+
+use std::sync::MutexGuard;
+
+use bytes::Bytes;
+use pimentorock_kernel::{
+    log_position::LogPosition,
+    place::{CopyUpdate, EndpointCopy, EndpointDirectory},
+};
+
+use crate::{
+    clock,
+    logs::part,
+    state::{GatewayState, log_undecodable},
+    store::RecordBatch,
+};
+
+impl RecordBatch {
+    /// Returns the batch of a read of the newest record of each key as an update.
+    pub(crate) fn into_list(self) -> CopyUpdate<Bytes> {
+        let end = LogPosition { era: self.era, offset: self.end };
+        CopyUpdate::from_list(end, self.records)
+    }
+
+    /// Returns the batch of a read from the offset `from` as an update.
+    pub(crate) fn into_continuation(self, from: u64) -> CopyUpdate<Bytes> {
+        CopyUpdate::from_log(LogPosition { era: self.era, offset: from }, self.records)
+    }
+}
+
+impl GatewayState {
+    /// Locks the directory of the endpoints that the store lists.
+    pub(crate) fn directory(&self) -> DirectoryGuard<'_> {
+        DirectoryGuard(self.endpoints())
+    }
+
+    /// Applies an update of the endpoints and returns whether this entry then has what the update
+    /// describes; `source` is `store` or `peer`.
+    ///
+    /// A record that cannot be decoded counts as the removal of the endpoint.
+    pub(crate) fn apply_endpoints(&self, update: CopyUpdate<Bytes>, source: &'static str) -> bool {
+        let (now, end, records, is_list) =
+            (clock::now(), update.end(), update.len(), update.is_list());
+        let (before, applied) = {
+            let mut endpoints = self.endpoints();
+            let before = endpoints.position();
+            let applied = endpoints.apply(now, update, |record| {
+                let decoded = (self.store.decode_endpoint)(record);
+                decoded.inspect_err(|error| log_undecodable(record, error)).ok()
+            });
+            (before, applied)
+        };
+        let known = before.map_or(-1, |before| before.offset as i64);
+        let Ok(changes) = applied else {
+            log::warn!(
+                target: part::FOLLOW,
+                source = source, era = end.era, end = end.offset, known = known;
+                "endpoint update does not continue the list"
+            );
+            self.metrics.note_endpoint_update(source, "gap");
+            return false;
+        };
+        if is_list && before < Some(end) {
+            log::info!(
+                target: part::FOLLOW,
+                source = source, era = end.era, end = end.offset, known = known,
+                records = records, changes = changes.len();
+                "endpoint list adopted"
+            );
+            self.metrics.note_endpoint_update(source, "list");
+        }
+        self.apply_changes(changes);
+        true
+    }
+}
+
+/// A guard that locks the copy of the endpoints and dereferences to their directory.
+pub(crate) struct DirectoryGuard<'a>(MutexGuard<'a, EndpointCopy<Bytes>>);
+
+impl std::ops::Deref for DirectoryGuard<'_> {
+    type Target = EndpointDirectory;
+
+    fn deref(&self) -> &EndpointDirectory {
+        self.0.directory()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod dispatcher;
 mod duty;
 mod endpoint_response;
+mod endpoints;
 mod error;
 mod event_splitter;
 pub mod fleet_config;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     endless_responses: Counter<u64>,
     crash_checks: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
+    endpoint_updates: Counter<u64>,
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
     take_ups: Counter<u64>,
@@ -62,6 +63,7 @@
             endless_responses: meter.u64_counter("endless_responses").build(),
             crash_checks: meter.u64_counter("crash_checks").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
+            endpoint_updates: meter.u64_counter("endpoint_updates").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
             take_ups: meter.u64_counter("take_ups").build(),
@@ -116,6 +118,13 @@
         self.endpoint_exclusions.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts an update of the endpoints that did not continue the copy of this entry: `form` is `list`
+    /// for one that replaced the copy, or `gap` for one that was not applied.
+    pub(crate) fn note_endpoint_update(&self, source: &'static str, form: &'static str) {
+        let source = KeyValue::new("source", source);
+        self.endpoint_updates.add(1, &[source, KeyValue::new("form", form)]);
+    }
+
     /// Sets the number of endpoints that name a limit.
     pub(crate) fn note_limits(&self, endpoints: usize) {
         self.limited_endpoints.record(endpoints as u64, &[]);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -15,6 +15,8 @@
     duty::UsageShare,
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
+    log_position::LogPosition,
+    place::CopyUpdate,
     send_limit::{LimitAnswer, LimitReport},
     stream_origin::{
         OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, OriginRecord, SpanAck, VersionNews,
@@ -101,8 +103,8 @@
     pub(crate) store_age_ms: u64,
     /// Version of the sender's current configuration; `None` if the sender has none.
     pub(crate) config_version: Option<u64>,
-    /// Offset of the next endpoint record to read in `era`; `None` if the sender has read none.
-    pub(crate) endpoints_next: Option<u64>,
+    /// Position up to which the sender has the endpoints; `None` if it has none.
+    pub(crate) endpoints_next: Option<LogPosition>,
     /// Wall-clock time of most entries of the sender's group, in milliseconds since the Unix epoch.
     pub(crate) wall_ms: u64,
     /// Whether the sender asks for a list of other entries; the sender then includes its own list in
@@ -159,14 +161,13 @@
     pub(crate) store_age_ms: u64,
     /// The entry that read them from the store, if known.
     pub(crate) reader: Option<SocketAddr>,
-    /// Highest era of the store that the answering entry has seen; the records are of this era.
+    /// Highest era of the store that the answering entry has seen; the configuration is of this era.
     pub(crate) era: u64,
     /// Record of the current configuration; `None` if it is not newer than that of the report.
     pub(crate) config: Option<PeerRecord>,
-    /// Endpoint records that changed since the report's `endpoints_next`.
-    pub(crate) endpoints: Vec<PeerRecord>,
-    /// Offset of the next endpoint record to read; `None` if the answering entry has read none.
-    pub(crate) endpoints_next: Option<u64>,
+    /// What the reporting entry lacks of the endpoints after the report's `endpoints_next`; `None` if
+    /// it lacks nothing.
+    pub(crate) endpoints: Option<CopyUpdate<Vec<u8>>>,
     /// Load that all entries outside the reporting entry's group have placed on endpoints.
     pub(crate) load: GroupLoad,
     /// Number of endpoints of the strict classes of each partitioned service.
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -7,6 +7,7 @@
         GroupLoad, HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
         StoreFollower,
     },
+    log_position::LogPosition,
     time::TimePoint,
 };
 
@@ -18,15 +19,6 @@
     store::{StoreRecord, StoreTopic},
 };
 
-/// The newest record of an endpoint.
-#[derive(Clone, Debug)]
-struct CachedRecord {
-    record: StoreRecord,
-    /// Offset of the endpoint's last record that differed from the previous one in more than its
-    /// heartbeat.
-    content_offset: u64,
-}
-
 /// Store records and state of other entries, which this entry forwards to its peers.
 #[derive(Debug)]
 pub(crate) struct SharedView {
@@ -47,10 +39,8 @@
     pub(crate) era: u64,
     /// Record of the current configuration, with its version.
     config: Option<(u64, StoreRecord)>,
-    /// Records of the endpoints in the current era.
-    endpoints: HashMap<Box<str>, CachedRecord>,
-    /// Offset of the next record to read of each topic that is followed, in the current era.
-    next_offsets: HashMap<StoreTopic, u64>,
+    /// Position of the next record to read of each topic that is followed, the endpoints excepted.
+    next_positions: HashMap<StoreTopic, LogPosition>,
     /// Whether the suspects were read from the store or from another entry that knows them.
     pub(crate) knows_suspects: bool,
     /// Time at which this entry got its first configuration.
@@ -76,8 +66,7 @@
             entry_count: SlidingMaximum::new(),
             era: 0,
             config: None,
-            endpoints: HashMap::new(),
-            next_offsets: HashMap::new(),
+            next_positions: HashMap::new(),
             knows_suspects: false,
             configured_at: None,
             config_current_at: TimePoint::ZERO,
@@ -85,25 +74,17 @@
         }
     }
 
-    /// Returns the offset to continue reading `topic` from, or `None` if `topic` was not read in the
-    /// current era.
-    pub(crate) fn next_offset(&self, topic: StoreTopic) -> Option<u64> {
-        self.next_offsets.get(&topic).copied()
+    /// Returns the position to continue reading `topic` from, or `None` if `topic` was not read.
+    pub(crate) fn next_position(&self, topic: StoreTopic) -> Option<LogPosition> {
+        self.next_positions.get(&topic).copied()
     }
 
-    /// Records that the records of `topic` before offset `next` were read.
-    pub(crate) fn advance(&mut self, topic: StoreTopic, next: u64) {
-        let known = self.next_offsets.entry(topic).or_insert(next);
+    /// Records that the records of `topic` before `next` were read.
+    pub(crate) fn advance(&mut self, topic: StoreTopic, next: LogPosition) {
+        let known = self.next_positions.entry(topic).or_insert(next);
         *known = (*known).max(next);
     }
 
-    /// Forgets all offsets, because the store has given them out again in a new era.
-    fn enter_era(&mut self, era: u64) {
-        self.era = era;
-        self.endpoints.clear();
-        self.next_offsets.clear();
-    }
-
     fn config_version(&self) -> Option<u64> {
         self.config.as_ref().map(|(version, _)| *version)
     }
@@ -162,21 +143,6 @@
         self.config = Some((version, record));
     }
 
-    /// Stores an endpoint record unless a newer one is known; `changed` is true if the record differs
-    /// from the previous one in more than its heartbeat.
-    pub(crate) fn cache_endpoint(&mut self, record: &StoreRecord, changed: bool) {
-        let known = self.endpoints.get(&record.key);
-        if known.is_some_and(|known| known.record.offset >= record.offset) {
-            return;
-        }
-        let since = match known {
-            Some(known) if !changed => known.content_offset,
-            _ => record.offset,
-        };
-        let cached = CachedRecord { record: record.clone(), content_offset: since };
-        self.endpoints.insert(record.key.clone(), cached);
-    }
-
     /// Stores the usage share of a process unless a newer one is known.
     pub(crate) fn take_share(&mut self, share: EntryShare) {
         let key: Box<str> = share.usage.process.to_string().into();
@@ -193,14 +159,6 @@
             self.roster.note_entry(now, entry);
         }
     }
-
-    fn endpoints_since(&self, next: Option<u64>) -> Vec<PeerRecord> {
-        let changed = self
-            .endpoints
-            .values()
-            .filter(|cached| next.is_none_or(|next| cached.content_offset >= next));
-        changed.map(|cached| cached.record.clone().into()).collect()
-    }
 }
 
 fn age_ms(now: TimePoint, at: TimePoint) -> u64 {
@@ -237,7 +195,7 @@
                 Ordering::Greater => {}
             }
             let before = view.era;
-            view.enter_era(era);
+            view.era = era;
             before
         };
         self.archive().forget();
@@ -302,6 +260,7 @@
             let lacks_origins = !own.is_whole(records.position);
             (records, own.version_news(known.versions), own.marker_ms(), lacks_origins)
         };
+        let endpoints_next = self.endpoints().position();
         let view = self.view();
         let report = EntryReport {
             process: self.process.clone(),
@@ -312,7 +271,7 @@
             era: view.era,
             store_age_ms: age_ms(now, view.follower.current_at()),
             config_version: view.config_version(),
-            endpoints_next: view.next_offset(StoreTopic::Endpoints),
+            endpoints_next,
             // Unlike `GatewayState::wall_ms`, which uses the skew that the hub determined, this time
             // is the median of the clocks of this entry and of the entries that report to it.
             wall_ms: self.own_wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
@@ -364,6 +323,13 @@
             (known.position(), versions, marker, known.knows_marker(), entries)
         };
         let limits = self.answer_limits(&report);
+        // The endpoints of the answer may be newer than it says, never older.
+        let (current_at, reader) = {
+            let view = self.view();
+            (view.follower.current_at(), view.follower.reader())
+        };
+        let endpoints = self.endpoints().update_for(report.endpoints_next);
+        let endpoints = endpoints.map(|update| update.map_values(|value| value.to_vec()));
         let mut view = self.view();
         view.note_reporter(now, &report);
         // Data of an earlier era are not newer, whenever they were read.
@@ -381,15 +347,12 @@
         let newer = view.config.as_ref().filter(|(version, _)| {
             report.config_version.is_none_or(|reported| *version > reported)
         });
-        // Offsets of an earlier era say nothing of the records in this one.
-        let endpoints_next = report.endpoints_next.filter(|_| report.era == view.era);
         EntryUpdate {
             era: view.era,
-            store_age_ms: age_ms(now, view.follower.current_at()),
-            reader: view.follower.reader(),
+            store_age_ms: age_ms(now, current_at),
+            reader,
             config: newer.map(|(_, record)| PeerRecord::from(record.clone())),
-            endpoints: view.endpoints_since(endpoints_next),
-            endpoints_next: view.next_offset(StoreTopic::Endpoints),
+            endpoints,
             load: view.load_aggregator.outside(now, &report.process, &own),
             strict_counts,
             wall_ms: self.wall_ms(),
@@ -425,13 +388,13 @@
     ) {
         let now = clock::now();
         if let Some(record) = update.config {
-            self.apply_record(StoreTopic::Config, update.era, &record.into(), "peer");
+            self.apply_record(StoreTopic::Config, &record.into(), "peer");
         }
         // What a peer knows of an earlier era of the store may be lost.
-        let is_current = self.note_era(update.era, "peer") != EraChange::Outdated;
-        for record in update.endpoints.into_iter().filter(|_| is_current) {
-            self.apply_record(StoreTopic::Endpoints, update.era, &record.into(), "peer");
-        }
+        let is_current = self.note_era(update.era, "peer") != EraChange::Outdated
+            && update.endpoints.is_none_or(|endpoints| {
+                self.apply_endpoints(endpoints.map_values(Into::into), "peer")
+            });
         self.suspects().merge(now, &update.suspects);
         self.part_suspects().merge(now, &update.part_suspects.histories);
         let current = sent_at - Duration::from_millis(update.store_age_ms);
@@ -442,9 +405,6 @@
             }
             view.knows_suspects |= update.knows_suspects;
             if is_current {
-                if let Some(next) = update.endpoints_next {
-                    view.advance(StoreTopic::Endpoints, next);
-                }
                 view.note_passed_on(now, from, current, update.reader);
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,12 +11,12 @@
 };
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use pimentorock_kernel::{
     duty::{UsageCounter, UsageShare},
     hub::{ClockFilter, HubRoster},
     ids::{EndpointKey, ProcessId},
-    log_position::LogPosition,
-    place::{DirectoryChange, EndpointDirectory, EndpointNotice, PlacedEndpoint, PlacementTable},
+    place::{DirectoryChange, EndpointCopy, EndpointNotice, PlacedEndpoint, PlacementTable},
     reason::DecisionReason,
     retry::{self, RetryBudget, RetryCase, RetryDecision},
     send_limit::LimitTable,
@@ -74,7 +74,7 @@
     /// Whether the process is draining connections before it stops.
     pub(crate) draining: AtomicBool,
     view: Mutex<SharedView>,
-    directory: Mutex<EndpointDirectory>,
+    endpoints: Mutex<EndpointCopy<Bytes>>,
     table: Mutex<PlacementTable>,
     budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
     /// Retry ratio and retry slack of the whole deployment, as in [`GatewaySettings`].
@@ -137,7 +137,7 @@
             clock_skew: AtomicI64::new(0),
             draining: AtomicBool::new(false),
             view: Mutex::new(SharedView::new(roster)),
-            directory: Mutex::new(EndpointDirectory::new()),
+            endpoints: Mutex::new(EndpointCopy::new()),
             budgets: Mutex::new(HashMap::new()),
             retry_allowance: Mutex::new((settings.retry_ratio, settings.retry_slack)),
             last_share: Mutex::new(None),
@@ -152,9 +152,9 @@
         self.table.lock().expect("no holder of the lock panics")
     }
 
-    /// Locks the directory of the endpoints that the store lists.
-    pub(crate) fn directory(&self) -> MutexGuard<'_, EndpointDirectory> {
-        self.directory.lock().expect("no holder of the lock panics")
+    /// Locks the endpoints that the store lists.
+    pub(crate) fn endpoints(&self) -> MutexGuard<'_, EndpointCopy<Bytes>> {
+        self.endpoints.lock().expect("no holder of the lock panics")
     }
 
     /// Locks the counter of requests that began to run.
@@ -293,48 +293,19 @@
         view.configured_at.get_or_insert(clock::now());
     }
 
-    /// Applies a record of the configuration or of an endpoint.
+    /// Applies a record of a topic in which records are independent of each other.
     ///
-    /// A configuration that cannot be decoded is ignored. An endpoint record that cannot be decoded
-    /// counts as the removal of the endpoint.
-    ///
-    /// `era` is the era of the store in which the record was read.
-    pub(crate) fn apply_record(
-        &self,
-        topic: StoreTopic,
-        era: u64,
-        record: &StoreRecord,
-        source: &str,
-    ) {
+    /// A configuration that cannot be decoded is ignored.
+    pub(crate) fn apply_record(&self, topic: StoreTopic, record: &StoreRecord, source: &str) {
         match topic {
             StoreTopic::Config => match (self.store.decode_config)(record) {
                 Ok(Some(config)) => self.apply_config(record, config, source),
                 Ok(None) => {}
                 Err(error) => log_undecodable(record, &error),
             },
-            StoreTopic::Endpoints => {
-                let endpoint = record.value.as_ref().and_then(|_| {
-                    let decoded = (self.store.decode_endpoint)(record);
-                    decoded.inspect_err(|error| log_undecodable(record, error)).ok()
-                });
-                let now = clock::now();
-                let position = LogPosition { era, offset: record.offset };
-                let (change, is_outdated) = {
-                    let mut directory = self.directory();
-                    let is_outdated = endpoint
-                        .as_ref()
-                        .is_some_and(|endpoint| directory.is_outdated(&record.key, endpoint));
-                    (directory.take(now, &record.key, position, endpoint), is_outdated)
-                };
-                // Peers must not learn of an endpoint that has left from an older copy of the store.
-                if !is_outdated {
-                    self.view().cache_endpoint(record, change.is_some());
-                }
-                self.apply_changes(change.into_iter().collect());
-            }
             StoreTopic::Suspects => self.apply_suspect(record),
             StoreTopic::Origins => self.apply_origin(record),
-            StoreTopic::Shares | StoreTopic::Duty => {}
+            StoreTopic::Endpoints | StoreTopic::Shares | StoreTopic::Duty => {}
         }
     }
 
@@ -505,7 +476,7 @@
     }
 }
 
-fn log_undecodable(record: &StoreRecord, error: &StoreError) {
+pub(crate) fn log_undecodable(record: &StoreRecord, error: &StoreError) {
     log::warn!(
         target: part::FOLLOW,
         key = &*record.key, offset = record.offset, error = error.to_string();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use pimentorock_kernel::{duty::UsageReport, log_position::LogPosition, place::EndpointRecord};
+use pimentorock_kernel::{
+    duty::UsageReport,
+    log_position::LogPosition,
+    place::{EndpointRecord, KeyedRecord},
+};
 
 use crate::fleet_config::FleetConfig;
 
@@ -26,15 +30,7 @@
 }
 
 /// A record of a topic.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreRecord {
-    /// Position of the record in its topic.
-    pub offset: u64,
-    /// Key; a newer record with the same key replaces this one.
-    pub key: Box<str>,
-    /// Value; `None` if the key was removed.
-    pub value: Option<Bytes>,
-}
+pub type StoreRecord = KeyedRecord<Bytes>;
 
 /// A record to append.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -72,14 +72,14 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.state.view().next_offset(self.topic).is_none_or(|next| next == 0)
+        self.next_position().is_none_or(|next| next.offset == 0)
     }
 
     /// Reads the records that were added since the last read, or the newest records if there was
     /// none.
     async fn advance(&mut self) -> Result<(), StoreError> {
         let sent_at = clock::now();
-        let next = self.state.view().next_offset(self.topic);
+        let next = self.next_position();
         let outcome = match next {
             Some(next) => self.read_from(next).await,
             None => self.read_newest().await,
@@ -92,20 +92,27 @@
         outcome
     }
 
-    async fn read_from(&self, next: u64) -> Result<(), StoreError> {
-        let batch = match (self.state.store.read)(self.topic, next, self.pace.wait).await {
+    /// Returns the position to continue reading from, or `None` if nothing was read in the current era.
+    fn next_position(&self) -> Option<LogPosition> {
+        let next = match self.topic {
+            StoreTopic::Endpoints => self.state.endpoints().position(),
+            topic => self.state.view().next_position(topic),
+        };
+        next.filter(|next| next.era == self.state.view().era)
+    }
+
+    async fn read_from(&self, next: LogPosition) -> Result<(), StoreError> {
+        let read = (self.state.store.read)(self.topic, next.offset, self.pace.wait).await;
+        let batch = match read {
             Ok(batch) => batch,
             Err(StoreError::Trimmed) => return self.read_newest().await,
             Err(error) => return Err(error),
         };
         match self.state.note_era(batch.era, "store") {
-            EraChange::Same => {
-                self.apply_batch(&batch, false);
-                Ok(())
-            }
-            // The offset was one of the era before.
-            EraChange::Entered => self.read_newest().await,
             EraChange::Outdated => Err(StoreError::Outdated),
+            // The offset was one of an era before, which this read or another one found to be over.
+            _ if batch.era != next.era => self.read_newest().await,
+            _ => self.apply_batch(batch, Some(next.offset)),
         }
     }
 
@@ -114,33 +121,34 @@
         if self.state.note_era(batch.era, "store") == EraChange::Outdated {
             return Err(StoreError::Outdated);
         }
-        if self.topic == StoreTopic::Endpoints {
-            let listed: Vec<&str> = batch.records.iter().map(|record| &*record.key).collect();
-            let end = LogPosition { era: batch.era, offset: batch.end };
-            let changes = self.state.directory().keep_listed(clock::now(), &listed, end);
-            self.state.apply_changes(changes);
-        }
-        self.apply_batch(&batch, true);
-        Ok(())
+        self.apply_batch(batch, None)
     }
 
-    fn apply_batch(&self, batch: &RecordBatch, is_complete: bool) {
+    /// Applies the records of a read from the offset `from`, or the newest records if it is `None`.
+    fn apply_batch(&self, batch: RecordBatch, from: Option<u64>) -> Result<(), StoreError> {
         if self.topic == StoreTopic::Endpoints {
-            self.state.directory().note_contact(clock::now());
+            self.state.endpoints().note_contact(clock::now());
+            let update = match from {
+                Some(from) => batch.into_continuation(from),
+                None => batch.into_list(),
+            };
+            let is_applied = self.state.apply_endpoints(update, "store");
+            return if is_applied { Ok(()) } else { Err(StoreError::Outdated) };
         }
         for record in &batch.records {
-            self.state.apply_record(self.topic, batch.era, record, "store");
+            self.state.apply_record(self.topic, record, "store");
         }
         // A read that reached its size limit ends before the end of the topic.
         let batch_end = batch.records.iter().map(|record| record.offset + 1).max();
-        let next = if is_complete { Some(batch.end) } else { batch_end };
-        if let Some(next) = next {
-            self.state.view().advance(self.topic, next);
+        let next = if from.is_none() { Some(batch.end) } else { batch_end };
+        if let Some(offset) = next {
+            self.state.view().advance(self.topic, LogPosition { era: batch.era, offset });
         }
-        if self.topic == StoreTopic::Suspects && is_complete {
+        if self.topic == StoreTopic::Suspects && from.is_none() {
             self.state.archive().note_read();
             self.state.view().knows_suspects = true;
         }
+        Ok(())
     }
 
     fn note_answer(&mut self, sent_at: TimePoint) {
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -155,10 +155,9 @@
     pub fn keep_listed(
         &mut self,
         now: TimePoint,
-        listed: &[&str],
+        listed: &HashSet<&str>,
         end: LogPosition,
     ) -> Vec<DirectoryChange> {
-        let listed: HashSet<&str> = listed.iter().copied().collect();
         let mut changes = Vec::new();
         for (name, row) in &mut self.rows {
             let missing = row.position < end && !listed.contains(&**name);
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -5,19 +5,22 @@
 //! chooses the endpoint with the lowest cost. The cost is measured in prompt tokens to prefill and
 //! has four terms: the work ahead of the request, shared prompt parts that the endpoint does not
 //! have cached, the distance, and the delay that long prompts cause to streams of strict classes.
-//! [`EndpointDirectory`] tracks which endpoints exist, and [`ExclusionTable`] which of them asked in
-//! an answer to get no requests.
+//! [`EndpointDirectory`] tracks which endpoints exist, [`EndpointCopy`] passes them on to other entries,
+//! and [`ExclusionTable`] tracks which of them asked in an answer to get no requests.
 //!
 //! A prompt consists of parts. All parts but the last may be shared with other requests, and an
 //! endpoint caches the shared parts that it has prefilled. The homes of a part are the two
 //! endpoints that should have the part cached.
 
+mod copy_update;
 mod cost;
 mod diagnosis;
 mod domain_order;
 mod endpoint;
+mod endpoint_copy;
 mod endpoint_directory;
 mod exclusion;
+mod known_spans;
 mod limited_choice;
 mod part_homes;
 mod partition;
@@ -27,8 +30,10 @@
 mod work_ticket;
 
 pub use self::{
+    copy_update::{CopyUpdate, KeyedRecord},
     diagnosis::PlacementDiagnosis,
     endpoint::{EndpointSample, LoadRow, PlacedEndpoint},
+    endpoint_copy::{EndpointCopy, UpdateGap},
     endpoint_directory::{
         DirectoryChange, EndpointDirectory, EndpointEntry, EndpointRecord, LAPSE_GRACE,
     },
--- a/crates/kernel/tests/place_directory.rs
+++ b/crates/kernel/tests/place_directory.rs
@@ -175,6 +175,6 @@
     assert_eq!(directory.entry("e1"), Some(&moved));
     // An endpoint that the list of the new era lacks may only be written again later.
     directory.take(now, "e2", at(52), Some(run_record(1, 1, false)));
-    let changes = directory.keep_listed(now, &["e1"], LogPosition { era: 2, offset: 4 });
+    let changes = directory.keep_listed(now, &["e1"].into(), LogPosition { era: 2, offset: 4 });
     assert_eq!(changes, [DirectoryChange::Lapsed("e2".into())]);
 }
