--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -191,7 +191,7 @@
             EraChange::Outdated => return Err(StoreError::Outdated),
         }
         for record in &batch.records {
-            self.state.apply_record(StoreTopic::Origins, batch.era, record, "store");
+            self.state.apply_record(StoreTopic::Origins, record, "store");
         }
         let is_first = self.next.is_none();
         // A read that reached its size limit ends before the end of the topic.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,12 +11,12 @@
 };
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use pimentorock_kernel::{
     duty::{UsageCounter, UsageShare},
     hub::{ClockFilter, HubRoster},
     ids::{EndpointKey, ProcessId},
-    log_position::LogPosition,
-    place::{DirectoryChange, EndpointDirectory, EndpointNotice, PlacedEndpoint, PlacementTable},
+    place::{DirectoryChange, EndpointCopy, EndpointNotice, PlacedEndpoint, PlacementTable},
     reason::DecisionReason,
     retry::{self, RetryBudget, RetryCase, RetryDecision},
     send_limit::LimitTable,
@@ -77,7 +77,7 @@
     /// Whether the process is draining connections before it stops.
     pub(crate) draining: AtomicBool,
     view: StateLock<SharedView>,
-    directory: StateLock<EndpointDirectory>,
+    endpoints: StateLock<EndpointCopy<Bytes>>,
     table: StateLock<PlacementTable>,
     budgets: StateLock<HashMap<Box<str>, RetryBudget>>,
     /// Retry ratio and retry slack of the whole deployment, as in [`GatewaySettings`].
@@ -146,7 +146,7 @@
             clock_skew: AtomicI64::new(0),
             draining: AtomicBool::new(false),
             view: StateLock::new(SharedView::new(roster)),
-            directory: StateLock::new(EndpointDirectory::new()),
+            endpoints: StateLock::new(EndpointCopy::new()),
             budgets: StateLock::new(HashMap::new()),
             retry_allowance: StateLock::new((settings.retry_ratio, settings.retry_slack)),
             last_share: StateLock::new(None),
@@ -161,9 +161,9 @@
         self.table.lock()
     }
 
-    /// Locks the directory of the endpoints that the store lists.
-    pub(crate) fn directory(&self) -> MutexGuard<'_, EndpointDirectory> {
-        self.directory.lock()
+    /// Locks the endpoints that the store lists.
+    pub(crate) fn endpoints(&self) -> MutexGuard<'_, EndpointCopy<Bytes>> {
+        self.endpoints.lock()
     }
 
     /// Locks the counter of requests that began to run.
@@ -302,53 +302,24 @@
         view.configured_at.get_or_insert(clock::now());
     }
 
-    /// Applies a record of the configuration or of an endpoint.
+    /// Applies a record of a topic in which records are independent of each other.
     ///
-    /// A configuration that cannot be decoded is ignored. An endpoint record that cannot be decoded
-    /// counts as the removal of the endpoint.
-    ///
-    /// `era` is the era of the store in which the record was read.
-    pub(crate) fn apply_record(
-        &self,
-        topic: StoreTopic,
-        era: u64,
-        record: &StoreRecord,
-        source: &str,
-    ) {
-        let apply = || self.apply_decoded(topic, era, record, source);
+    /// A configuration that cannot be decoded is ignored.
+    pub(crate) fn apply_record(&self, topic: StoreTopic, record: &StoreRecord, source: &str) {
+        let apply = || self.apply_decoded(topic, record, source);
         self.metrics.shield_record(topic_name(topic), &record.key, apply);
     }
 
-    fn apply_decoded(&self, topic: StoreTopic, era: u64, record: &StoreRecord, source: &str) {
+    fn apply_decoded(&self, topic: StoreTopic, record: &StoreRecord, source: &str) {
         match topic {
             StoreTopic::Config => match (self.store.decode_config)(record) {
                 Ok(Some(config)) => self.apply_config(record, config, source),
                 Ok(None) => {}
                 Err(error) => log_undecodable(record, &error),
             },
-            StoreTopic::Endpoints => {
-                let endpoint = record.value.as_ref().and_then(|_| {
-                    let decoded = (self.store.decode_endpoint)(record);
-                    decoded.inspect_err(|error| log_undecodable(record, error)).ok()
-                });
-                let now = clock::now();
-                let position = LogPosition { era, offset: record.offset };
-                let (change, is_outdated) = {
-                    let mut directory = self.directory();
-                    let is_outdated = endpoint
-                        .as_ref()
-                        .is_some_and(|endpoint| directory.is_outdated(&record.key, endpoint));
-                    (directory.take(now, &record.key, position, endpoint), is_outdated)
-                };
-                // Peers must not learn of an endpoint that has left from an older copy of the store.
-                if !is_outdated {
-                    self.view().cache_endpoint(record, change.is_some());
-                }
-                self.apply_changes(change.into_iter().collect());
-            }
             StoreTopic::Suspects => self.apply_suspect(record),
             StoreTopic::Origins => self.apply_origin(record),
-            StoreTopic::Shares | StoreTopic::Duty => {}
+            StoreTopic::Endpoints | StoreTopic::Shares | StoreTopic::Duty => {}
         }
     }
 
@@ -528,7 +499,7 @@
     }
 }
 
-fn log_undecodable(record: &StoreRecord, error: &StoreError) {
+pub(crate) fn log_undecodable(record: &StoreRecord, error: &StoreError) {
     log::warn!(
         target: part::FOLLOW,
         key = &*record.key, offset = record.offset, error = error.to_string();
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -6,7 +6,7 @@
 use pimentorock_kernel::{
     hub::KnownEntry,
     log_position::LogPosition,
-    place::{EndpointEntry, EndpointRecord, PlacedRequest},
+    place::{CopyUpdate, EndpointEntry, EndpointRecord, KeyedRecord, PlacedRequest},
     send_limit::{GrantRow, LimitAnswer, LimitReport, LimitScope, TicketLot},
     stream_origin::{OriginQuestion, StreamKey, VersionNews},
     suspect::{CrashRecord, PartDelta, PartHistory, SuspectDelta, SuspectTable},
@@ -54,6 +54,8 @@
         response_headers: |_| HeaderMap::new(),
         retry_after: |_, _| {},
         ready_path: "/ready",
+        report_path: "/report",
+        report_started: |_| None,
     };
     let store = FleetStore {
         read: Box::new(|_, _, _| Box::pin(async { Err(StoreError::Trimmed) })),
@@ -128,6 +130,7 @@
             load: self.load(),
             limits: if self.draw() { Some(limits) } else { None },
             spans: self.ack(),
+            hub_run: self.u64(),
             knows_limits: self.draw(),
             present: self.u32(),
         };
@@ -144,7 +147,7 @@
             era: self.u64(),
             store_age_ms: self.u64(),
             config_version: self.optional(),
-            endpoints_next: self.optional(),
+            endpoints_next: if self.draw() { Some(self.log_position()) } else { None },
             wall_ms: self.u64(),
             wants_entries: self.draw(),
             entries: self.list(FigureSource::entry),
@@ -158,15 +161,24 @@
         }
     }
 
-    fn update(&mut self) -> EntryUpdate {
-        let record = |source: &mut FigureSource| {
-            let record = StoreRecord {
-                offset: source.u64(),
-                key: source.name(),
-                value: Some(vec![1].into()),
-            };
-            record.into()
+    fn log_position(&mut self) -> LogPosition {
+        LogPosition { era: self.u64(), offset: self.u64() }
+    }
+
+    fn endpoints(&mut self) -> CopyUpdate<Vec<u8>> {
+        let record = |source: &mut FigureSource| KeyedRecord {
+            offset: source.u64(),
+            key: source.name(),
+            value: Some(vec![1]),
         };
+        let (position, records) = (self.log_position(), self.list(record));
+        match self.draw() {
+            true => CopyUpdate::from_list(position, records),
+            false => CopyUpdate::from_log(position, records),
+        }
+    }
+
+    fn update(&mut self) -> EntryUpdate {
         let lot = |source: &mut FigureSource| TicketLot {
             rank: source.draw(),
             count: source.u32(),
@@ -190,8 +202,7 @@
             reader: Some(self.address()),
             era: if self.draw() { era % 3 } else { era },
             config: None,
-            endpoints: self.list(record),
-            endpoints_next: self.optional(),
+            endpoints: if self.draw() { Some(self.endpoints()) } else { None },
             load: self.load(),
             strict_counts: self.list(|source| (source.name(), source.u32())),
             wall_ms: self.u64(),
@@ -243,36 +254,29 @@
 fn a_message_at_the_end_of_its_types_holds_off_no_later_one() {
     for odd in [u64::MAX, u64::MAX / 2, u64::from(u32::MAX) + 1, 1 << 53] {
         let (state, from) = (state(), SocketAddr::from(([10, 0, 0, 1], 1)));
-        let record = |offset: u64, key: &str| {
-            let value = Some(vec![1].into());
-            StoreRecord { offset, key: key.into(), value }.into()
+        let list = |era: u64, end: u64, offset: u64| {
+            let record = KeyedRecord { offset, key: "i-0".into(), value: Some(vec![1]) };
+            Some(CopyUpdate::from_list(LogPosition { era, offset: end }, vec![record]))
         };
         let is_wall = odd <= 1 << 53;
         let update = EntryUpdate {
             era: odd,
-            endpoints: vec![record(odd, "i-0")],
-            endpoints_next: Some(odd),
+            endpoints: list(odd, odd, odd),
             wall_ms: if is_wall { 0 } else { odd },
             ..EntryUpdate::default()
         };
         state.apply_update(from, clock::now(), update, !is_wall);
         assert_eq!(state.view().era, 0, "{odd}");
         let odd_offset = odd.max(1 << 53);
-        let update = EntryUpdate {
-            endpoints: vec![record(odd_offset, "i-0")],
-            endpoints_next: Some(odd_offset),
-            ..EntryUpdate::default()
-        };
+        let update =
+            EntryUpdate { endpoints: list(0, odd_offset, odd_offset), ..EntryUpdate::default() };
         state.apply_update(from, clock::now(), update, false);
-        let update = EntryUpdate {
-            endpoints: vec![record(3, "i-0")],
-            endpoints_next: Some(4),
-            ..EntryUpdate::default()
-        };
+        let update = EntryUpdate { endpoints: list(0, 4, 3), ..EntryUpdate::default() };
         state.apply_update(from, clock::now(), update, false);
         assert!(state.directory().entry("i-0").is_some(), "{odd}");
         let report = state.report(Vec::new(), false, KnownLedgers::default());
-        assert_eq!((report.era, report.endpoints_next), (0, Some(4)), "{odd}");
+        let next = Some(LogPosition { era: 0, offset: 4 });
+        assert_eq!((report.era, report.endpoints_next), (0, next), "{odd}");
         assert!(report.wall_ms.abs_diff(clock::wall_ms()) < 1_000, "{odd}");
         assert!(state.wall_ms().abs_diff(clock::wall_ms()) < 1_000, "{odd}");
         let mut report = report;
