Compare each event of an answer with the one before

Callers may have seen streams in which a piece was missing or came twice, as one whole answer.

Cause: the relay compared the first event of each answer with the last one that the caller had, and no further ones.

Change: each event is compared with the one before. Numbers rise by one, as the first event of an answer had to; other identifiers differ. Events before the wrong one are passed on, and the stream goes on elsewhere after the last of them, or is broken off if it must not be resumed. The greatest number has no successor, where the addition overflowed.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -2,17 +2,49 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Consecutive complete events of a stream, and the identifiers of the first and the last of them.
+/// The end of an event in its batch, and its identifier.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct EventMark {
+    end: usize,
+    id: Option<Box<str>>,
+}
+
+/// Consecutive complete events of a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct EventBatch {
     /// The events' bytes, unchanged, with the comments and empty lines before the last event.
     pub(crate) bytes: Bytes,
-    /// Number of events.
-    pub(crate) count: u32,
-    /// Identifier of the first event that has one.
-    pub(crate) first_id: Option<Box<str>>,
-    /// Identifier of the last event that has one.
-    pub(crate) last_id: Option<Box<str>>,
+    events: Vec<EventMark>,
+}
+
+impl EventBatch {
+    /// Returns the number of events.
+    pub(crate) fn count(&self) -> u32 {
+        self.events.len() as u32
+    }
+
+    /// Returns the identifier of the last event that has one.
+    pub(crate) fn last_id(&self) -> Option<&str> {
+        self.events.iter().rev().find_map(|event| event.id.as_deref())
+    }
+
+    /// Drops the events from the first one that may not follow the event before it, and returns whether there is
+    /// none; `last` is the identifier of the event before the first one.
+    pub(crate) fn keep_ordered(&mut self, last: Option<&str>) -> bool {
+        let mut last = last;
+        let mut kept = 0;
+        for event in &self.events {
+            if !is_next_event(last, event.id.as_deref()) {
+                break;
+            }
+            last = event.id.as_deref().or(last);
+            kept += 1;
+        }
+        let is_ordered = kept == self.events.len();
+        self.events.truncate(kept);
+        self.bytes.truncate(self.events.last().map_or(0, |event| event.end));
+        is_ordered
+    }
 }
 
 /// Buffers bytes until they form complete events.
@@ -32,12 +64,13 @@
     /// Adds bytes and returns all events that are complete now, or `None` if there are none.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<EventBatch> {
         self.pending.extend_from_slice(bytes);
-        let (mut end, mut count) = (0, 0);
+        let (mut end, mut events) = (0, Vec::new());
         let mut position = self.searched;
         while let Some(next) = next_blank_line(&self.pending, position) {
             if has_content(&self.pending[self.blank..next]) {
+                let id = event_id(&self.pending[end..next]).map(Into::into);
                 end = next;
-                count += 1;
+                events.push(EventMark { end, id });
             }
             (self.blank, position) = (next, next);
         }
@@ -48,13 +81,7 @@
         let complete = self.pending.split_to(end).freeze();
         self.blank -= end;
         self.searched -= end;
-        let ids = event_ids(&complete);
-        Some(EventBatch {
-            count,
-            first_id: ids.first().map(|id| (*id).into()),
-            last_id: ids.last().map(|id| (*id).into()),
-            bytes: complete.clone(),
-        })
+        Some(EventBatch { bytes: complete, events })
     }
 
     /// Returns and forgets the comments and empty lines that are held back, if there are any.
@@ -90,11 +117,23 @@
     lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
-fn event_ids(bytes: &[u8]) -> Vec<&str> {
-    bytes
+/// Returns the identifier of an event; the last one counts.
+fn event_id(event: &[u8]) -> Option<&str> {
+    event
         .split(|byte| *byte == b'\n')
+        .rev()
         .filter_map(|line| line.strip_prefix(b"id:"))
-        .filter_map(|id| std::str::from_utf8(id).ok())
+        .find_map(|id| std::str::from_utf8(id).ok())
         .map(str::trim)
-        .collect()
+}
+
+/// Reports whether an event with the identifier `next` may follow one with the identifier `last`.
+///
+/// Identifiers rise by one if they are numbers; others cannot be compared, but differ.
+fn is_next_event(last: Option<&str>, next: Option<&str>) -> bool {
+    let (Some(last), Some(next)) = (last, next) else { return true };
+    match (last.parse::<u64>(), next.parse::<u64>()) {
+        (Ok(last), Ok(next)) => last.checked_add(1) == Some(next),
+        _ => last != next,
+    }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     endless_responses: Counter<u64>,
     crash_checks: Counter<u64>,
     run_checks: Counter<u64>,
+    disordered_streams: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
@@ -63,6 +64,7 @@
             endless_responses: meter.u64_counter("endless_responses").build(),
             crash_checks: meter.u64_counter("crash_checks").build(),
             run_checks: meter.u64_counter("run_checks").build(),
+            disordered_streams: meter.u64_counter("disordered_streams").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
@@ -113,6 +115,11 @@
         self.crash_checks.add(1, &[KeyValue::new("verdict", verdict)]);
     }
 
+    /// Counts an answer in which an event did not follow the one before.
+    pub(crate) fn note_disorder(&self) {
+        self.disordered_streams.add(1, &[]);
+    }
+
     /// Counts a check of the run behind a connection, with its verdict.
     pub(crate) fn note_run_check(&self, verdict: &'static str) {
         self.run_checks.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,7 @@
     dispatch_failure::DispatchFailure,
     dispatcher::RequestDispatcher,
     endpoint_response::EndpointResponse,
-    event_splitter::EventSplitter,
+    event_splitter::{EventBatch, EventSplitter},
     fleet_config::{RouteKind, RouteSpec},
     logs::part,
     message_buffers::{HeldMessage, MessageBuffer},
@@ -445,7 +445,6 @@
         let time_left = self.dispatcher.request.time_left();
         let deadline = tokio::time::sleep(time_left);
         tokio::pin!(deadline);
-        let mut first = true;
         let mut forwarded_at = clock::now();
         loop {
             let frame = tokio::select! {
@@ -482,7 +481,7 @@
             };
             let events = splitter.push(&data);
             buffer.resize(splitter.held());
-            let Some(events) = events else {
+            let Some(mut events) = events else {
                 let is_silent = clock::now().since(forwarded_at) >= MAX_SILENCE;
                 if let Some(blank) = is_silent.then(|| splitter.take_blank()).flatten() {
                     forwarded_at = clock::now();
@@ -494,24 +493,37 @@
             };
             response.body.connection.complete_part();
             forwarded_at = clock::now();
-            if first && !is_next_event(self.last_event.as_deref(), events.first_id.as_deref()) {
-                return RelayEnd::Broken("it goes on at another event".into());
-            }
-            first = false;
-            if self.progress.is_none() {
-                self.dispatcher.note_first_event(&response.work);
-            }
-            self.note_events(events.count);
-            response.work.started();
-            if let Some(id) = events.last_id {
-                self.last_event = Some(id);
-            }
-            if let Some(end) = self.forward(events.bytes, deadline.as_mut()).await {
+            let is_ordered = events.keep_ordered(self.last_event.as_deref());
+            if events.count() > 0
+                && let Some(end) = self.forward_events(response, events, deadline.as_mut()).await
+            {
                 return end;
             }
+            if !is_ordered {
+                self.dispatcher.state.metrics.note_disorder();
+                return RelayEnd::Broken("it goes on at another event".into());
+            }
         }
     }
 
+    /// Notes complete events of `response` and sends them to the caller, as [`forward`](StreamRelay::forward) does.
+    async fn forward_events(
+        &mut self,
+        response: &mut EndpointResponse,
+        events: EventBatch,
+        deadline: Pin<&mut Sleep>,
+    ) -> Option<RelayEnd> {
+        if self.progress.is_none() {
+            self.dispatcher.note_first_event(&response.work);
+        }
+        self.note_events(events.count());
+        response.work.started();
+        if let Some(id) = events.last_id() {
+            self.last_event = Some(id.into());
+        }
+        self.forward(events.bytes, deadline).await
+    }
+
     /// Sends a part of the stream to the caller, and returns the end of the relay if this is not
     /// possible before the deadline.
     async fn forward(&self, part: Bytes, deadline: Pin<&mut Sleep>) -> Option<RelayEnd> {
@@ -572,17 +584,6 @@
     }
 }
 
-/// Reports whether `next` may follow `last`, the identifier of the last event that the caller has.
-///
-/// Numeric identifiers must be consecutive; other identifiers cannot be compared and are accepted.
-fn is_next_event(last: Option<&str>, next: Option<&str>) -> bool {
-    let number = |id: Option<&str>| id.and_then(|id| id.parse::<u64>().ok());
-    match (number(last), number(next)) {
-        (Some(last), Some(next)) => next == last + 1,
-        _ => true,
-    }
-}
-
 /// Maximum time to wait for a slow caller when a stream is aborted.
 const ABORT_TIMEOUT: Duration = Duration::from_secs(2);
 
