Ask for the run after an answer that ended with its connection

Callers may have seen a part of a stream as a whole one: an answer with neither a length nor chunks was cut by a crash between two events, and its endpoint was back within 50 ms, so that the check found it alive.

Cause: the check asked whether something accepts connections at the address, not whether it is the run that answered.

Change: after such an answer the endpoint is asked for its report on the connection of the check; another start than that of the run that answered counts as a crash. Other checks are as before. An endpoint that states no start counts as alive, as before.

--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -5,8 +5,8 @@
 //! is recognised when another instance is found at its address.
 //!
 //! An answer that ends with its connection looks the same whether it is complete or cut by a crash. Such
-//! an answer is complete if its endpoint still lives, and counts as evidence for its request only
-//! once the endpoint has outlived it.
+//! an answer is complete if its endpoint still lives and, where it states its start, is the run that
+//! answered. It counts as evidence for its request only once the endpoint has outlived it.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -79,7 +79,7 @@
 enum InstanceState {
     /// The instance accepted a connection.
     Alive,
-    /// The instance refused a connection.
+    /// The instance refused a connection, or another one answered at its address.
     Crashed,
     /// The instance did not answer; its host may have lost its power, or its link.
     Unknown,
@@ -192,10 +192,14 @@
     let opened = HttpConnection::open(instance.address).await;
     let DueCheck { service, mut lost, ended } = state.crash_checks.take_due(&instance);
     let found = match opened {
-        Ok(connection) => {
+        Ok(connection) if ended.is_empty() => {
             state.pool.put(&instance, connection);
             InstanceState::Alive
         }
+        Ok(connection) => match state.is_other_run(&instance, connection).await {
+            true => InstanceState::Crashed,
+            false => InstanceState::Alive,
+        },
         Err(ConnectionError::Refused) => InstanceState::Crashed,
         Err(_) => InstanceState::Unknown,
     };
--- a/crates/gateway/src/run_checks.rs
+++ b/crates/gateway/src/run_checks.rs
@@ -142,6 +142,32 @@
         Ok((run, Some(connection).filter(|connection| !closes && !connection.is_closed())))
     }
 
+    /// Reports whether the endpoint behind a new connection states that it is another run than `instance`, and keeps
+    /// the connection if it does not.
+    pub(crate) async fn is_other_run(
+        &self,
+        instance: &EndpointInstance,
+        connection: HttpConnection,
+    ) -> bool {
+        let asked = timeout(REPORT_TIMEOUT, self.ask_run(instance, connection)).await;
+        let Ok(Ok((run, connection))) = asked else {
+            self.metrics.note_run_check("failed");
+            return false;
+        };
+        if let (RunStatement::Started(stated_ms), Some(listed_ms)) = (run, instance.started_ms)
+            && stated_ms != listed_ms
+        {
+            self.metrics.note_run_check("other");
+            self.note_other_run(instance, stated_ms);
+            return true;
+        }
+        self.metrics.note_run_check(run.label());
+        if let Some(connection) = connection {
+            self.pool.put(instance, connection);
+        }
+        false
+    }
+
     /// Notes that another run of an endpoint than the listed one accepts connections.
     fn note_other_run(&self, instance: &EndpointInstance, stated_ms: u64) {
         log::warn!(
@@ -251,11 +277,7 @@
         let asked = timeout(limit, self.state.ask_run(&work.instance, connection)).await;
         let reason: Box<str> = match asked {
             Ok(Ok((run, connection))) => {
-                let verdict = match run {
-                    RunStatement::Started(_) => "stated",
-                    RunStatement::Unasked | RunStatement::Unstated => "unstated",
-                };
-                self.state.metrics.note_run_check(verdict);
+                self.state.metrics.note_run_check(run.label());
                 let Some(connection) = connection else {
                     let opened = HttpConnection::open(work.instance.address).await;
                     return opened.map_err(|error| self.unreached(work, &error));
--- a/crates/gateway/src/run_statement.rs
+++ b/crates/gateway/src/run_statement.rs
@@ -10,3 +10,14 @@
     /// It was asked, and states no start time.
     Unstated,
 }
+
+impl RunStatement {
+    /// Returns the name of the statement in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            RunStatement::Unasked => "unasked",
+            RunStatement::Started(_) => "stated",
+            RunStatement::Unstated => "unstated",
+        }
+    }
+}
