--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{Ipv4Addr, Ipv6Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
@@ -16,28 +16,25 @@
         WindowAggregator,
     },
     hub::{
-        ClockFilter, GroupLoad, HubChoice, HubRoster, KnownEntry, LoadAggregator, SkewEstimator,
-        StoreFollower,
+        ClockFilter, HubChoice, HubRoster, KnownEntry, LoadAggregator, SkewEstimator, StoreFollower,
     },
     ids::{FencingNumber, ProcessId},
     log_position::LogPosition,
     place::{
-        EndpointDirectory, EndpointEntry, EndpointNotice, EndpointRecord, EndpointSample, LoadRow,
+        EndpointDirectory, EndpointEntry, EndpointNotice, EndpointRecord, EndpointSample,
         PlacedEndpoint, PlacedRequest, PlacementTable, PromptPart, strict_pauses,
     },
     send_limit::{
-        EndpointAnswer, GrantRow, HoldingRow, LimitAnswer, LimitReport, LimitRow, LimitScope,
-        LimitTable, LimitWord, TicketLot,
+        EndpointAnswer, GrantRow, LimitAnswer, LimitReport, LimitScope, LimitTable, LimitWord,
+        TicketLot,
     },
     stream_origin::{
-        EntryKey, MarkedEntry, MarkerInput, OriginDelta, OriginMarker, OriginQuestion,
-        OriginRecord, ServedVersion, ShareSpan, SpanAck, StreamKey, StreamOrigins, VersionKey,
-        VersionNews, VersionShare,
+        EntryKey, MarkedEntry, MarkerInput, OriginMarker, OriginQuestion, ServedVersion, ShareSpan,
+        StreamKey, StreamOrigins, VersionNews,
     },
     suspect::{
-        ArchivedPart, ArchivedSuspect, CrashEvidence, CrashRecord, LedgerPosition, PartArchive,
-        PartCrash, PartHistory, PartLedger, StoredCrash, StoredHistory, StoredPartCrash,
-        SuspectArchive, SuspectLedger, SuspectLimits,
+        ArchivedPart, ArchivedSuspect, CrashRecord, PartArchive, PartHistory, PartLedger,
+        StoredCrash, StoredHistory, StoredPartCrash, SuspectArchive, SuspectLedger, SuspectLimits,
     },
     time::{MAX_WALL_MS, TimePoint},
 };
