Compare numbers of events without overflow

A stream that a caller took up after event 2^64-1 panicked its relay (relay.rs:578, attempt to add with overflow); a release build took event 0 for the next one.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -381,7 +381,7 @@
     }
 
     fn note(&mut self, now: TimePoint, events: u32) {
-        self.events += events;
+        self.events = self.events.saturating_add(events);
         self.longest_pause = self.longest_pause.max(now.since(self.last));
         self.last = now;
     }
@@ -580,7 +580,7 @@
 fn is_next_event(last: Option<&str>, next: Option<&str>) -> bool {
     let number = |id: Option<&str>| id.and_then(|id| id.parse::<u64>().ok());
     match (number(last), number(next)) {
-        (Some(last), Some(next)) => next == last + 1,
+        (Some(last), Some(next)) => last.checked_add(1) == Some(next),
         _ => true,
     }
 }
