--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -381,7 +381,7 @@
     }
 
     fn note(&mut self, now: TimePoint, events: u32) {
-        self.events += events;
+        self.events = self.events.saturating_add(events);
         self.longest_pause = self.longest_pause.max(now.since(self.last));
         self.last = now;
     }
