--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -4,7 +4,7 @@
 mod figure_source;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
@@ -153,7 +153,7 @@
             directory.take(now, &name, position, record.clone());
             let _ = record.map(|record| directory.is_outdated(&name, &record));
             directory.note_contact(now);
-            directory.keep_listed(now, &[], end);
+            directory.keep_listed(now, &HashSet::new(), end);
             directory.expire(now);
             let _ = position.fencing();
         }
