Give nobody the duty by a record of an earlier era

A process that had lost the usage duty, and knew it, took it back under its old number after the store had come back from an older copy; the true holder stopped.

Cause: `apply_holder` cleared the mark of a process that the log may name in error whenever the record named another holder than the one known before. A process that had read its successor's record, and then its own older one in the new era, was the holder again at once. The same held for an append that the store executed only after it had come back: its writer became the holder, under a number that may have been given out in the era before, and its record hid the newest one, whose windows were closed again.

Change: a record that was made in an earlier era than the one it is read in gives nobody the duty, not even the process that it names; a process holds it if it is certain of its last append, or has appended in this era. Who reads such a record leaves out the windows that have ended by then. Log line `usage duty record of an earlier era`.

Tests: `duty_search` plays two drills from copies that lack up to two records, while processes freeze; its plan moved to a module of its own. The search that must find windows closed twice (`the_search_detects_windows_that_are_closed_again_...`) runs in that plan now: with one drill and six seconds, a process that does not trust the old record takes over too late to close one again.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -318,7 +318,16 @@
             Ok(duty) => {
                 let before = self.duty.holder().map(|(holder, _)| holder.clone());
                 let holder = duty.holder.clone();
-                self.duty.read(now, LogPosition { era, offset: record.offset }, duty);
+                let position = LogPosition { era, offset: record.offset };
+                if duty.era < era && position >= self.duty.end() {
+                    log::info!(
+                        target: part::DUTY,
+                        holder = holder.to_string(), era = era, made_in_era = duty.era,
+                        offset = record.offset, repeats = self.duty.must_repeat();
+                        "usage duty record of an earlier era"
+                    );
+                }
+                self.duty.read(now, position, duty);
                 if before.as_ref() != Some(&holder) {
                     log::info!(
                         target: part::DUTY,
--- a/crates/kernel/src/duty/holder.rs
+++ b/crates/kernel/src/duty/holder.rs
@@ -50,6 +50,8 @@
     first_closable: u64,
     /// Lower bound of `first_closable` until a record of the current era is read.
     provisional_first: u64,
+    /// Window that had not ended at the last read.
+    current: u64,
     closed: BTreeMap<u64, ClosedWindow>,
     /// Windows whose reports were accepted.
     reported: Vec<u64>,
@@ -72,6 +74,7 @@
             is_disowned: false,
             first_closable: 0,
             provisional_first: 0,
+            current: 0,
             closed: BTreeMap::new(),
             reported: Vec::new(),
         }
@@ -98,6 +101,7 @@
     /// other counts, so this process leaves them out unless a record of the new era shows more, and
     /// waits as if a record had just been appended.
     pub fn enter_era(&mut self, now: TimePoint, era: u64, current: u64) {
+        self.current = current;
         if era <= self.end.era {
             return;
         }
@@ -108,6 +112,7 @@
         if is_certain {
             self.must_repeat = true;
         } else {
+            self.must_repeat = false;
             self.is_disowned = true;
             self.provisional_first = current;
             self.may_report_until = TimePoint::ZERO;
@@ -157,20 +162,29 @@
     /// Applies what a record shows of windows that must not be closed.
     ///
     /// The writer of a record of the current era has followed the same rules as this process, and
-    /// nothing after it was lost. An older record may be one that the log has kept.
+    /// nothing after it was lost. An older record may be one that the log has kept, or one that was
+    /// executed late and hides a record of the current era.
     fn note_first_window(&mut self, position: LogPosition, record: &DutyRecord) {
         if record.era < position.era {
-            self.first_closable = self.first_closable.max(self.provisional_first);
+            let hidden = if self.must_repeat { 0 } else { self.current };
+            self.first_closable = self.first_closable.max(self.provisional_first).max(hidden);
         }
         self.first_closable = self.first_closable.max(record.first_window);
         self.provisional_first = 0;
     }
 
+    /// Applies what a record shows of the holder.
+    ///
+    /// A record of an earlier era gives its holder nothing, whoever it is: the log may have lost
+    /// that of a successor, whose fencing number is higher. A record of the current era was appended
+    /// by the rules.
     fn apply_holder(&mut self, position: LogPosition, record: &DutyRecord) {
-        if self.holder.as_ref() != Some(&record.holder) {
+        let is_disowned = record.era < position.era;
+        if is_disowned || self.holder.as_ref() != Some(&record.holder) {
+            self.must_repeat = false;
             self.may_report_until = TimePoint::ZERO;
-            self.is_disowned = false;
         }
+        self.is_disowned = is_disowned;
         self.fencing = record.fencing_at(position);
         self.holder = Some(record.holder.clone());
         self.released = record.released;
--- a/crates/kernel/tests/duty_search.rs
+++ b/crates/kernel/tests/duty_search.rs
@@ -1,11 +1,14 @@
 //! An exhaustive search over the interleavings of two processes that share the usage duty, over a
 //! few seconds.
 
+mod duty_search_plan;
+
 use std::{
     collections::{BTreeMap, HashSet},
     time::Duration,
 };
 
+use duty_search_plan::{Action, LIMITS, ProcessFault, START_MS, SearchPlan, WINDOW_SECONDS};
 use pimentorock_kernel::{
     duty::{ClosedWindow, DutyHolder, DutyLimits, DutyRecord},
     ids::ProcessId,
@@ -13,116 +16,6 @@
     time::TimePoint,
 };
 
-/// Time within which reports of two holders must not alternate.
-const LEASE: Duration = Duration::from_secs(2);
-
-/// Longest time that a report is in transit.
-const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
-
-/// Limits in whole seconds, so that steps of one second hit each limit exactly.
-const LIMITS: DutyLimits = DutyLimits {
-    report_span: Duration::from_secs(3),
-    takeover_span: Duration::from_secs(6),
-    released_span: Duration::from_secs(3),
-    latest_close: Duration::from_secs(1),
-};
-
-/// Length of the search in seconds, enough for one takeover or two releases.
-const SECONDS: u64 = 7;
-
-/// Limits for the search with a drill, for a lease of one second and reports that arrive at once.
-const DRILL_LIMITS: DutyLimits = DutyLimits {
-    report_span: Duration::from_secs(2),
-    takeover_span: Duration::from_secs(3),
-    released_span: Duration::from_secs(1),
-    latest_close: Duration::from_secs(1),
-};
-
-/// Length of the search with a drill in seconds, enough for a takeover after it.
-const DRILL_SECONDS: u64 = 6;
-
-/// Length of a usage window in seconds.
-const WINDOW_SECONDS: u64 = 1;
-
-/// Start of the search in milliseconds.
-const START_MS: u64 = 10_000;
-
-/// Largest number of windows that are closed.
-const WINDOWS: u64 = 2;
-
-/// The action of a process in one second.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Action {
-    /// The process does nothing because it is stalled, cut off or slow.
-    Idle,
-    /// Reads the log.
-    Read,
-    /// Reads, appends and receives the answer.
-    Append,
-    /// Reads and appends; the answer is lost.
-    AppendUnanswered,
-    /// Reads and appends; the append is executed later or never.
-    AppendLate,
-    /// Releases the duty.
-    Release,
-    /// Sends the next report.
-    Report,
-    /// The process is killed and restarts.
-    Restart,
-}
-
-const ACTIONS: [Action; 8] = [
-    Action::Idle,
-    Action::Read,
-    Action::Append,
-    Action::AppendUnanswered,
-    Action::AppendLate,
-    Action::Release,
-    Action::Report,
-    Action::Restart,
-];
-
-/// What the search plays.
-#[derive(Clone, Copy, Debug)]
-struct SearchPlan {
-    limits: DutyLimits,
-    seconds: u64,
-    /// Time within which reports of two holders must not alternate.
-    lease: Duration,
-    /// Longest time that a report is in transit.
-    max_report_delay: Duration,
-    /// Whether the log comes back once from an older copy.
-    drills: bool,
-    /// Whether processes ignore the era that the log states.
-    ignores_era: bool,
-    /// Whether processes close windows that a lost record may have closed.
-    closes_lost: bool,
-}
-
-impl SearchPlan {
-    fn new(limits: DutyLimits) -> SearchPlan {
-        SearchPlan {
-            limits,
-            seconds: SECONDS,
-            lease: LEASE,
-            max_report_delay: MAX_REPORT_DELAY,
-            drills: false,
-            ignores_era: false,
-            closes_lost: false,
-        }
-    }
-
-    fn with_drill() -> SearchPlan {
-        SearchPlan {
-            seconds: DRILL_SECONDS,
-            lease: Duration::from_secs(1),
-            max_report_delay: Duration::ZERO,
-            drills: true,
-            ..SearchPlan::new(DRILL_LIMITS)
-        }
-    }
-}
-
 /// The end of the log, and its newest record with its offset.
 type LogState = (u64, Option<(u64, DutyRecord)>);
 
@@ -132,8 +25,8 @@
     now: TimePoint,
     era: u64,
     log: LogState,
-    /// The log before its last append, from which it may come back.
-    copy: Option<LogState>,
+    /// The log before its last appends, from which it may come back, the newest last.
+    copies: Vec<LogState>,
     holders: [DutyHolder; 2],
     /// Incarnation of each process.
     incarnations: [u64; 2],
@@ -156,7 +49,7 @@
             now,
             era: 0,
             log: (0, None),
-            copy: None,
+            copies: Vec::new(),
             holders: [holder(0), holder(1)],
             incarnations: [1, 1],
             late: None,
@@ -188,14 +81,19 @@
                 state.holders[index].appended(state.now, state.now, position, record);
             }
             Action::Report => {
-                let needed = plan.max_report_delay;
-                let report = state.holders[index].next_report(state.now, needed, 0)?;
-                state.holders[index].note_reported(report.closed.window);
-                if let Err(violation) = state.receive(index, report.fencing.0, report.closed, plan)
-                {
+                if let Err(violation) = state.report(index, plan)? {
                     return Some(Err(violation));
                 }
             }
+            Action::Step => {
+                // It reports also if nothing is to be appended.
+                let _ = state.append(index, Action::Append, plan);
+                while let Some(reported) = state.report(index, plan) {
+                    if let Err(violation) = reported {
+                        return Some(Err(violation));
+                    }
+                }
+            }
             Action::Restart => {
                 state.incarnations[index] += 1;
                 let process = process(index, state.incarnations[index]);
@@ -205,6 +103,13 @@
         Some(Ok(state))
     }
 
+    /// Sends the next report, if one is due.
+    fn report(&mut self, index: usize, plan: &SearchPlan) -> Option<Result<(), String>> {
+        let report = self.holders[index].next_report(self.now, plan.max_report_delay, 0)?;
+        self.holders[index].note_reported(report.closed.window);
+        Some(self.receive(index, report.fencing.0, report.closed, plan))
+    }
+
     /// Returns the window that has not ended yet.
     fn current_window(&self) -> u64 {
         self.now.since(TimePoint::from_millis(START_MS)).as_secs() / WINDOW_SECONDS
@@ -212,15 +117,24 @@
 
     /// Returns the era that a process sees.
     fn seen_era(&self, plan: &SearchPlan) -> u64 {
-        if plan.ignores_era { 0 } else { self.era }
+        if plan.fault == Some(ProcessFault::IgnoreEra) { 0 } else { self.era }
     }
 
     fn read(&mut self, index: usize, plan: &SearchPlan) {
         let era = self.seen_era(plan);
-        let current = if plan.closes_lost { 0 } else { self.current_window() };
+        let current = match plan.fault {
+            Some(ProcessFault::CloseLost) => 0,
+            _ => self.current_window(),
+        };
         let holder = &mut self.holders[index];
         holder.enter_era(self.now, era, current);
-        if let Some((offset, record)) = self.log.1.clone() {
+        if let Some((offset, mut record)) = self.log.1.clone() {
+            if plan.fault == Some(ProcessFault::TrustOldRecords) {
+                // The fencing number stays that of the era in which the record was made.
+                let position = LogPosition { era: record.era, offset };
+                record.fencing = record.fencing.or(Some(position.fencing()));
+                record.era = era;
+            }
             holder.read(self.now, LogPosition { era, offset }, record);
         }
         holder.skip_to(self.now, LogPosition { era, offset: self.log.0 });
@@ -233,8 +147,11 @@
             return None;
         }
         let window = holder.last_closed().map_or(0, |last| last + 1);
-        let is_closable = window < WINDOWS && (!plan.drills || window < self.current_window());
-        if !is_closable && !holder.must_repeat() {
+        let has_ended = plan.drills == 0 || window < self.current_window();
+        let is_closable = window < plan.windows && has_ended;
+        let renews =
+            plan.windows == u64::MAX && holder.needs_renewal(self.now, plan.max_report_delay, 0);
+        if !is_closable && !renews && !holder.must_repeat() {
             return None;
         }
         // The counts differ between processes and incarnations, so a window that is closed twice is
@@ -263,20 +180,27 @@
         if expected != self.log.0 {
             return None;
         }
-        if plan.drills {
-            self.copy = Some(self.log.clone());
+        if self.era < plan.drills {
+            self.copies.push(self.log.clone());
+            let excess = self.copies.len().saturating_sub(plan.copies);
+            self.copies.drain(..excess);
         }
         self.log = (expected + 1, Some((expected, record.clone())));
         Some(LogPosition { era: self.seen_era(plan), offset: expected })
     }
 
-    /// Returns the state after the log has come back without its last record, if it may do so.
-    fn drilled(&self) -> Option<SearchState> {
-        if self.era > 0 {
-            return None;
+    /// Returns the states after the log has come back without one or several of its last records.
+    fn drilled(&self, plan: &SearchPlan) -> Vec<SearchState> {
+        if self.era >= plan.drills {
+            return Vec::new();
         }
-        let log = self.copy.clone()?;
-        Some(SearchState { era: 1, log, copy: None, ..self.clone() })
+        let copies = self.copies.iter().enumerate().map(|(older, log)| SearchState {
+            era: self.era + 1,
+            log: log.clone(),
+            copies: self.copies[..older].to_vec(),
+            ..self.clone()
+        });
+        copies.collect()
     }
 
     /// Receives a report that arrives at once.
@@ -321,7 +245,7 @@
         let mut later = self.clone();
         later.now = later.now + Duration::from_secs(1);
         let mut states = vec![later.clone()];
-        states.extend(later.drilled().filter(|_| plan.drills));
+        states.extend(later.drilled(plan));
         for mut state in states.clone() {
             if let Some((expected, record)) = state.late.take() {
                 state.execute_append(expected, &record, plan);
@@ -350,8 +274,8 @@
         for index in 0..2 {
             let mut seen = HashSet::new();
             for state in &frontier {
-                for action in ACTIONS.into_iter().filter(|action| allowed(state, index, *action)) {
-                    if let Some(after) = state.after(index, action, plan) {
+                for action in plan.actions.iter().filter(|action| allowed(state, index, **action)) {
+                    if let Some(after) = state.after(index, *action, plan) {
                         seen.insert(after?);
                     }
                 }
@@ -404,13 +328,31 @@
 /// Guards against a search that would not see what the era is for.
 #[test]
 fn the_search_detects_processes_that_ignore_the_era() {
-    let plan = SearchPlan { ignores_era: true, ..SearchPlan::with_drill() };
+    let plan = SearchPlan::with_drill().with_fault(ProcessFault::IgnoreEra);
     assert!(search(&plan).is_err());
 }
 
 /// Guards against a search that would not see a window which a lost record had closed.
 #[test]
 fn the_search_detects_windows_that_are_closed_again_after_their_record_was_lost() {
-    let plan = SearchPlan { closes_lost: true, ..SearchPlan::with_drill() };
+    let plan = SearchPlan::with_drills_in_a_row().with_fault(ProcessFault::CloseLost);
     assert!(search(&plan).is_err());
 }
+
+/// The log comes back twice, also without the records of two holders, while processes freeze for
+/// seconds. No fencing number is lower than one that was seen before.
+#[test]
+fn fencing_numbers_never_fall_over_two_drills() {
+    let states = search(&SearchPlan::with_drills_in_a_row()).expect("no violation");
+    println!("{states} states with a report");
+    assert!(states > 10_000, "only {states} states with a report");
+}
+
+/// Guards against a holder that takes the duty back once the log has lost the record of its
+/// successor.
+#[test]
+fn the_search_detects_holders_that_trust_records_of_an_earlier_era() {
+    let plan = SearchPlan::with_drills_in_a_row().with_fault(ProcessFault::TrustOldRecords);
+    let violation = search(&plan).expect_err("a violation");
+    println!("{violation}");
+}
