--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -323,6 +323,7 @@
         let Some(value) = &record.value else { return };
         match serde_json::from_slice::<DutyRecord>(value) {
             Ok(duty) if !duty.is_readable(self.state.window_ms()) => {
+                self.state.metrics.note_unreadable("duty");
                 log::warn!(
                     target: part::DUTY, offset = record.offset;
                     "usage duty record with impossible figures left out"
@@ -341,6 +342,7 @@
                 }
             }
             Err(error) => {
+                self.state.metrics.note_unreadable("duty");
                 log::warn!(
                     target: part::DUTY, error = error.to_string();
                     "cannot decode the usage duty record"
@@ -358,6 +360,7 @@
                 let readable: Vec<EntryShare> =
                     shares.into_iter().filter(|share| share.usage.is_readable()).collect();
                 if readable.len() < count {
+                    self.state.metrics.note_unreadable("shares");
                     log::warn!(
                         target: part::DUTY, key = &*record.key, offset = record.offset,
                         shares = count - readable.len();
@@ -370,6 +373,7 @@
                 }
             }
             Err(error) => {
+                self.state.metrics.note_unreadable("shares");
                 let error = error.to_string();
                 log::warn!(target: part::DUTY, error = error; "cannot decode the usage shares");
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,7 @@
     store_era: Gauge<u64>,
     endpoints: Gauge<u64>,
     panics: Counter<u64>,
+    unreadable_records: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -85,6 +86,7 @@
             store_era: meter.u64_gauge("store_era").build(),
             endpoints: meter.u64_gauge("endpoints").build(),
             panics: meter.u64_counter("panics").build(),
+            unreadable_records: meter.u64_counter("unreadable_records").build(),
             _provider: provider,
         }
     }
@@ -201,6 +203,11 @@
         self.endpoints.record(count as u64, &[]);
     }
 
+    /// Counts a record of `topic` that was left out because it cannot be read.
+    pub(crate) fn note_unreadable(&self, topic: &'static str) {
+        self.unreadable_records.add(1, &[KeyValue::new("topic", topic)]);
+    }
+
     /// Counts a panic of `part`: the name of a task, or of the topic of a record.
     pub(crate) fn note_panic(&self, part: &'static str) {
         self.panics.add(1, &[KeyValue::new("part", part)]);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -103,6 +103,7 @@
     pub(crate) fn apply_origin(&self, record: &StoreRecord) {
         let value = record.value.as_deref().unwrap_or_default();
         if let Err(error) = self.origins().take_archived(clock::now(), &record.key, value) {
+            self.metrics.note_unreadable("origins");
             log::warn!(
                 target: part::FOLLOW, key = &*record.key, offset = record.offset,
                 error = error.to_string();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -320,12 +320,12 @@
             StoreTopic::Config => match (self.store.decode_config)(record) {
                 Ok(Some(config)) => self.apply_config(record, config, source),
                 Ok(None) => {}
-                Err(error) => log_undecodable(record, &error),
+                Err(error) => self.note_undecodable(topic, record, &error),
             },
             StoreTopic::Endpoints => {
                 let endpoint = record.value.as_ref().and_then(|_| {
                     let decoded = (self.store.decode_endpoint)(record);
-                    decoded.inspect_err(|error| log_undecodable(record, error)).ok()
+                    decoded.inspect_err(|error| self.note_undecodable(topic, record, error)).ok()
                 });
                 let now = clock::now();
                 let position = LogPosition { era, offset: record.offset };
@@ -348,6 +348,15 @@
         }
     }
 
+    fn note_undecodable(&self, topic: StoreTopic, record: &StoreRecord, error: &StoreError) {
+        self.metrics.note_unreadable(topic_name(topic));
+        log::warn!(
+            target: part::FOLLOW,
+            key = &*record.key, offset = record.offset, error = error.to_string();
+            "record unreadable"
+        );
+    }
+
     /// Applies changes of the endpoint directory to the placement table and the connection pool.
     pub(crate) fn apply_changes(&self, changes: Vec<DirectoryChange>) {
         if changes.is_empty() {
@@ -515,14 +524,6 @@
     }
 }
 
-fn log_undecodable(record: &StoreRecord, error: &StoreError) {
-    log::warn!(
-        target: part::FOLLOW,
-        key = &*record.key, offset = record.offset, error = error.to_string();
-        "record unreadable"
-    );
-}
-
 /// A guard that locks the shared view and dereferences to its roster.
 pub(crate) struct RosterGuard<'a>(MutexGuard<'a, SharedView>);
 
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -40,6 +40,7 @@
         let crashes = crashes.ok().filter(|crashes| crashes.iter().all(StoredCrash::is_readable));
         let (Some(crashes), Ok(fingerprint)) = (crashes, u64::from_str_radix(&record.key, 16))
         else {
+            self.metrics.note_unreadable("suspects");
             log::warn!(
                 target: part::FOLLOW, key = &*record.key, offset = record.offset;
                 "crash record unreadable"
@@ -59,6 +60,7 @@
         };
         let history = history.ok().filter(StoredHistory::is_readable);
         let (Some(history), Ok(part)) = (history, u64::from_str_radix(key, 16)) else {
+            self.metrics.note_unreadable("suspects");
             log::warn!(
                 target: part::FOLLOW, key = &*record.key, offset = record.offset;
                 "crash record unreadable"
