--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock,
     logs::part,
-    state::{GatewayState, log_undecodable},
+    state::GatewayState,
     store::{RecordBatch, StoreRecord, StoreTopic},
     topic_reader::topic_name,
 };
@@ -78,7 +78,9 @@
         let mut endpoint = None;
         self.metrics.shield_record(topic_name(StoreTopic::Endpoints), &record.key, || {
             let decoded = (self.store.decode_endpoint)(record);
-            endpoint = decoded.inspect_err(|error| log_undecodable(record, error)).ok();
+            let unreadable =
+                |error: &_| self.note_undecodable(StoreTopic::Endpoints, record, error);
+            endpoint = decoded.inspect_err(unreadable).ok();
         });
         endpoint
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -315,7 +315,7 @@
             StoreTopic::Config => match (self.store.decode_config)(record) {
                 Ok(Some(config)) => self.apply_config(record, config, source),
                 Ok(None) => {}
-                Err(error) => log_undecodable(record, &error),
+                Err(error) => self.note_undecodable(topic, record, &error),
             },
             StoreTopic::Suspects => self.apply_suspect(record),
             StoreTopic::Origins => self.apply_origin(record),
@@ -323,6 +323,15 @@
         }
     }
 
+    fn note_undecodable(&self, topic: StoreTopic, record: &StoreRecord, error: &StoreError) {
+        self.metrics.note_unreadable(topic_name(topic));
+        log::warn!(
+            target: part::FOLLOW,
+            key = &*record.key, offset = record.offset, error = error.to_string();
+            "record unreadable"
+        );
+    }
+
     /// Applies changes of the endpoint directory to the placement table and the connection pool.
     pub(crate) fn apply_changes(&self, changes: Vec<DirectoryChange>) {
         if changes.is_empty() {
@@ -499,14 +508,6 @@
     }
 }
 
-pub(crate) fn log_undecodable(record: &StoreRecord, error: &StoreError) {
-    log::warn!(
-        target: part::FOLLOW,
-        key = &*record.key, offset = record.offset, error = error.to_string();
-        "record unreadable"
-    );
-}
-
 /// A guard that locks the shared view and dereferences to its roster.
 pub(crate) struct RosterGuard<'a>(MutexGuard<'a, SharedView>);
 
