Simulated fleets: an entry that wrote records only has not read what others wrote before

The product counts its own write only if nothing came between (OriginPublisher::write).

Change: the same in the simulation, so that an entry reads more, not less.

--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -372,9 +372,12 @@
             self.read(index);
             return;
         }
+        let has_read_all = entry.read_revision == self.store.revision;
         self.store.append(records);
         if !is_lost {
-            entry.read_revision = self.store.revision;
+            if has_read_all {
+                entry.read_revision = self.store.revision;
+            }
             entry.origins.note_written();
         }
     }
