Simulated fleets read what is new in the store, as the product does

An entry decoded all records of the store at each read; now it takes those that were written since, and copies of the store are made only for fleets that use them.

--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -220,7 +220,7 @@
         if self.draw(plan.older_copies) {
             self.store.restore();
         }
-        if self.tick.is_multiple_of(40) {
+        if plan.older_copies > 0 && self.tick.is_multiple_of(40) {
             self.store.make_copy();
         }
         self.store.is_away = self.tick < self.away_until;
@@ -386,10 +386,9 @@
     fn read(&mut self, index: usize) {
         let (now, entry) = (self.now, &mut self.entries[index]);
         entry.note_era(self.store.era);
-        if entry.read_revision != self.store.revision || entry.origins.read_at().is_none() {
-            for (key, value) in &self.store.records {
-                entry.origins.take_archived(now, key, value).unwrap();
-            }
+        let is_first = entry.origins.read_at().is_none();
+        for (key, value) in self.store.read((!is_first).then_some(entry.read_revision)) {
+            entry.origins.take_archived(now, key, value).unwrap();
         }
         entry.read_revision = self.store.revision;
         entry.origins.note_read(now);
