Search simulated fleets whose entries stand still for streams that change versions

An entry that stands still neither exchanges nor reads for 1 to 80 ticks of 50 ms, answers nobody, and goes on with what it knew; half of them are the root hub or its substitute. Plans without such entries draw the same as before.

--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -46,6 +46,22 @@
     check(plan, seeds());
 }
 
+#[test]
+fn no_stream_changes_versions_while_entries_stand_still() {
+    for entries in [2, 5, 9] {
+        let plan = OriginPlan { freezes: 40, version_changes: 30, ..OriginPlan::calm(entries) };
+        check(plan, 0..seeds().end.div_ceil(3));
+    }
+}
+
+#[test]
+fn no_stream_changes_versions_while_entries_stand_still_among_all_other_troubles() {
+    for entries in [3, 6] {
+        let plan = OriginPlan { freezes: 40, version_changes: 30, ..OriginPlan::troubled(entries) };
+        check(plan, 0..seeds().end.div_ceil(3));
+    }
+}
+
 /// Checks that a share of the streams that were taken up while their version served went on.
 fn check_share(name: &str, fleet: &OriginFleet, least: f64) {
     let (went_on, given_up) = (fleet.take_ups.went_on, fleet.take_ups.given_up);
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -44,6 +44,9 @@
 /// Age of the list of endpoints up to which it tells the shares by which streams begin.
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_500);
 
+/// Most ticks for which an entry stands still.
+const MAX_FROZEN_TICKS: usize = 80;
+
 /// Tries of a caller to take up its stream.
 const TRIES: u32 = 3;
 
@@ -213,6 +216,10 @@
             let (cut, ticks) = (self.below(count), 20 + self.below(200) as u64);
             self.entries[cut].store_cut_until = self.tick + ticks;
         }
+        // No draw, so that plans without such entries stay the same for each seed.
+        if plan.freezes > 0 && self.draw(plan.freezes) {
+            self.freeze_one();
+        }
         if self.draw(plan.outages) {
             let ticks = 20 + self.below(160) as u64;
             self.lose_store(ticks);
@@ -239,6 +246,25 @@
         }
     }
 
+    /// Lets the root hub, its substitute or any entry stand still.
+    fn freeze_one(&mut self) {
+        let (any, hub) = (self.below(self.entries.len()), self.below(self.entries.len().min(2)));
+        let frozen = if self.draw(500) { hub } else { any };
+        let ticks = 1 + self.below(MAX_FROZEN_TICKS) as u64;
+        self.freeze(frozen, ticks);
+    }
+
+    /// Lets an entry stand still for a number of ticks.
+    pub fn freeze(&mut self, index: usize, ticks: u64) {
+        let frozen_until = self.entries[index].frozen_until.max(self.tick + ticks);
+        self.entries[index].frozen_until = frozen_until;
+    }
+
+    /// Reports whether an entry lives and does not stand still.
+    fn is_running(&self, index: usize) -> bool {
+        self.entries[index].is_alive && self.tick >= self.entries[index].frozen_until
+    }
+
     fn list_endpoints(&mut self) {
         self.store.listed = self.serving.clone();
     }
@@ -254,8 +280,7 @@
     /// Returns the hub of an entry; `None` if the entry is a root hub.
     fn hub(&self, index: usize) -> Option<usize> {
         let domains = self.plan.domains;
-        let is_peer =
-            |peer: &usize| *peer < index && self.entries[*peer].is_alive && !self.is_cut(*peer);
+        let is_peer = |peer: &usize| *peer < index && self.is_running(*peer) && !self.is_cut(*peer);
         if self.is_cut(index) {
             return None;
         }
@@ -266,7 +291,7 @@
     fn exchange(&mut self) {
         for index in 0..self.entries.len() {
             let is_due = (self.tick + index as u64).is_multiple_of(EXCHANGE_TICKS);
-            if !is_due || !self.entries[index].is_alive {
+            if !is_due || !self.is_running(index) {
                 continue;
             }
             let (now, entry) = (self.now, &mut self.entries[index]);
@@ -279,7 +304,7 @@
         }
         let due: Vec<_> = self.late_reports.extract_if(.., |(at, _, _)| *at <= self.tick).collect();
         for (_, hub, delta) in due {
-            if self.entries[hub].is_alive {
+            if self.is_running(hub) {
                 self.entries[hub].origins.merge(self.now, &delta);
             }
         }
@@ -323,7 +348,7 @@
     /// Lets root hubs read and write the store.
     fn use_store(&mut self) {
         for index in 0..self.entries.len() {
-            if !self.entries[index].is_alive {
+            if !self.is_running(index) {
                 continue;
             }
             if self.hub(index).is_some() {
@@ -398,8 +423,8 @@
     fn serving_entry(&mut self) -> Option<usize> {
         let index = self.below(self.entries.len());
         let entry = &self.entries[index];
-        (entry.is_alive && !entry.listed.is_empty() && entry.origins.knows_marker())
-            .then_some(index)
+        let serves = !entry.listed.is_empty() && entry.origins.knows_marker();
+        (self.is_running(index) && serves).then_some(index)
     }
 
     fn begin_streams(&mut self) {
--- a/crates/kernel/tests/origin_simulation/origin_plan.rs
+++ b/crates/kernel/tests/origin_simulation/origin_plan.rs
@@ -19,6 +19,8 @@
     /// Entries that lose all others, and entries that lose the store, for a while.
     pub cuts: u64,
     pub store_cuts: u64,
+    /// Entries that stand still for a while, and then go on with what they knew.
+    pub freezes: u64,
     /// Outages of the store, and its returns from an older copy.
     pub outages: u64,
     pub older_copies: u64,
@@ -42,6 +44,7 @@
             total_kills: 0,
             cuts: 0,
             store_cuts: 0,
+            freezes: 0,
             outages: 0,
             older_copies: 0,
             lost_answers: 0,
--- a/crates/kernel/tests/origin_simulation/simulated_entry.rs
+++ b/crates/kernel/tests/origin_simulation/simulated_entry.rs
@@ -17,6 +17,8 @@
     /// Time until which the entry reaches no other one, and until which it does not reach the store.
     pub cut_until: u64,
     pub store_cut_until: u64,
+    /// Time until which the entry stands still: it neither exchanges nor reads, and answers nobody.
+    pub frozen_until: u64,
     /// Difference of the entry's wall clock, in milliseconds.
     pub skew_ms: u64,
     /// Versions of the endpoints, as of `current_at`.
@@ -41,6 +43,7 @@
             is_alive: true,
             cut_until: 0,
             store_cut_until: 0,
+            frozen_until: 0,
             skew_ms,
             listed: BTreeSet::new(),
             current_at: TimePoint::ZERO,
