--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -323,7 +323,12 @@
         }
     }
 
-    fn note_undecodable(&self, topic: StoreTopic, record: &StoreRecord, error: &StoreError) {
+    pub(crate) fn note_undecodable(
+        &self,
+        topic: StoreTopic,
+        record: &StoreRecord,
+        error: &StoreError,
+    ) {
         self.metrics.note_unreadable(topic_name(topic));
         log::warn!(
             target: part::FOLLOW,
