Take back: judge an outage of the store by how current data are

This reverts. An outage needs evidence that the store did not answer (reads that failed), stated by the entry that reads to those behind it.

--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -390,8 +390,6 @@
         if let Some(record) = update.config {
             self.apply_record(StoreTopic::Config, &record.into(), "peer");
         }
-        let current = sent_at - Duration::from_millis(update.store_age_ms);
-        self.endpoints().note_contact(current);
         // What a peer knows of an earlier era of the store may be lost.
         let is_current = self.note_era(update.era, "peer") != EraChange::Outdated
             && update.endpoints.is_none_or(|endpoints| {
@@ -399,6 +397,7 @@
             });
         self.suspects().merge(now, &update.suspects);
         self.part_suspects().merge(now, &update.part_suspects.histories);
+        let current = sent_at - Duration::from_millis(update.store_age_ms);
         {
             let mut view = self.view();
             for entry in &update.entries {
--- a/crates/kernel/src/place/endpoint_copy.rs
+++ b/crates/kernel/src/place/endpoint_copy.rs
@@ -73,9 +73,9 @@
         self.position
     }
 
-    /// Notes that the store answered at `at`, to this entry or to one that passed its answer on.
-    pub fn note_contact(&mut self, at: TimePoint) {
-        self.directory.note_contact(at);
+    /// Notes that the store answered.
+    pub fn note_contact(&mut self, now: TimePoint) {
+        self.directory.note_contact(now);
     }
 
     /// Removes the endpoints whose record is gone and whose grace period is over, and returns them.
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -13,8 +13,7 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
 
 /// Time without an answer from the store that counts as an outage. Entries may lapse during an
-/// outage although their endpoints are alive. The value is longer than the time between two reads, and
-/// between two exchanges that pass them on.
+/// outage although their endpoints are alive. The value is longer than the time between two reads.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 
 /// Description that an endpoint wrote to the store.
@@ -80,7 +79,7 @@
     rows: HashMap<Box<str>, DirectoryRow>,
     /// Number of rows with an entry.
     live: usize,
-    /// Last time at which the directory is known to have matched the store.
+    /// Last time at which the store answered.
     last_contact: Option<TimePoint>,
     /// End of the last outage of the store.
     outage_end: Option<TimePoint>,
@@ -92,12 +91,12 @@
         EndpointDirectory::default()
     }
 
-    /// Notes that the store answered at `at`, to this entry or to one that passed its answer on.
-    pub fn note_contact(&mut self, at: TimePoint) {
-        if self.last_contact.is_some_and(|contact| at.since(contact) > MIN_OUTAGE) {
-            self.outage_end = Some(at);
+    /// Notes that the store answered.
+    pub fn note_contact(&mut self, now: TimePoint) {
+        if self.last_contact.is_some_and(|contact| now.since(contact) > MIN_OUTAGE) {
+            self.outage_end = Some(now);
         }
-        self.last_contact = self.last_contact.max(Some(at));
+        self.last_contact = Some(now);
     }
 
     /// Applies the record at `position` of the endpoint `name` and returns the resulting change.
