--- a/crates/daemon/tests/stream_version_facts.rs
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -127,6 +127,8 @@
     }
     assert!(count >= STREAMS / 2, "only {count} streams were taken up");
     assert_eq!(refused, 0, "{refused} of {count} streams were refused");
+    // A root hub that stood still must not replace the marker of another one.
+    assert_eq!(fleet.platform.unconditional_markers(), 0);
 }
 
 /// Guards against a record that expires although its caller keeps asking.
--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -5,6 +5,7 @@
 use pimentorock_kernel::{
     hub::{HubChoice, ReadTurn},
     stream_origin::{ArchiveRecord, MarkerInput, OriginMarker},
+    time::TimePoint,
 };
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -14,7 +15,7 @@
     logs::part,
     shared_view::EraChange,
     state::GatewayState,
-    store::{NewRecord, StoreError, StoreRecord, StoreTopic},
+    store::{NewRecord, RecordBatch, StoreError, StoreRecord, StoreTopic},
 };
 
 /// Time between two writes to the store.
@@ -167,29 +168,40 @@
         }
     }
 
+    /// Reads what others wrote since the last read, or everything.
     async fn read(&mut self) -> Result<(), StoreError> {
-        let sent_at = clock::now();
         let era = self.state.view().era;
-        let read = match self.next.filter(|(known, _)| *known == era) {
-            Some((_, next)) => {
-                let read = (self.state.store.read)(StoreTopic::Origins, next, Duration::ZERO).await;
-                match read {
-                    Err(StoreError::Trimmed) => {
-                        (self.state.store.newest)(StoreTopic::Origins).await
-                    }
-                    read => read,
-                }
-            }
-            None => (self.state.store.newest)(StoreTopic::Origins).await,
+        let Some((_, next)) = self.next.filter(|(known, _)| *known == era) else {
+            return self.read_newest().await;
         };
+        let sent_at = clock::now();
+        let read = (self.state.store.read)(StoreTopic::Origins, next, Duration::ZERO).await;
+        self.state.metrics.note_store_call("origins", read.is_ok());
+        match read {
+            Err(StoreError::Trimmed) => self.read_newest().await,
+            // The offset was one of the era before.
+            Ok(batch) if batch.era != era => self.read_newest().await,
+            read => self.apply(read?, sent_at, false),
+        }
+    }
+
+    async fn read_newest(&mut self) -> Result<(), StoreError> {
+        let sent_at = clock::now();
+        let read = (self.state.store.newest)(StoreTopic::Origins).await;
         self.state.metrics.note_store_call("origins", read.is_ok());
-        let batch = read?;
-        match self.state.note_era(batch.era, "store") {
-            EraChange::Same => {}
-            // The offset was one of the era before; the next step reads everything.
-            EraChange::Entered if self.next.is_some() => return Ok(()),
-            EraChange::Entered => {}
-            EraChange::Outdated => return Err(StoreError::Outdated),
+        self.apply(read?, sent_at, true)
+    }
+
+    /// Applies the answer to a read that was sent at `sent_at`; `is_list` tells whether it has the newest
+    /// record of each key.
+    fn apply(
+        &mut self,
+        batch: RecordBatch,
+        sent_at: TimePoint,
+        is_list: bool,
+    ) -> Result<(), StoreError> {
+        if self.state.note_era(batch.era, "store") == EraChange::Outdated {
+            return Err(StoreError::Outdated);
         }
         for record in &batch.records {
             self.state.apply_record(StoreTopic::Origins, record, "store");
@@ -197,7 +209,7 @@
         let is_first = self.next.is_none();
         // A read that reached its size limit ends before the end of the topic.
         let last = batch.records.iter().map(|record| record.offset + 1).max();
-        let next = if is_first { batch.end } else { last.unwrap_or(batch.end) };
+        let next = if is_list { batch.end } else { last.unwrap_or(batch.end) };
         self.next = Some((batch.era, next));
         if next >= batch.end {
             self.state.origins().note_read(sent_at);
