Use an endpoint whose report is late

A sound endpoint whose report came late, or without end, got no streams that may be resumed and rested for a while; with no other endpoint callers were refused.

Change: after 0.5 s the endpoint counts as one that states no start, and the list of endpoints tells its run. A connection that is lost still sends the request elsewhere.

--- a/crates/gateway/src/run_checks.rs
+++ b/crates/gateway/src/run_checks.rs
@@ -33,7 +33,7 @@
 };
 
 /// Maximum time in which an endpoint states its run.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Limits of an endpoint's report.
 const REPORT_LIMITS: AnswerLimits = AnswerLimits { bytes: 256 << 10, patience: REPORT_TIMEOUT };
@@ -267,7 +267,7 @@
     }
 
     /// Returns the connection after the endpoint was asked for its run on it, or a new one if the endpoint
-    /// closed it.
+    /// closed it or did not answer in time.
     async fn ask_run(
         &self,
         work: &WorkGuard,
@@ -275,21 +275,35 @@
     ) -> Result<HttpConnection, Box<str>> {
         let limit = REPORT_TIMEOUT.min(self.request.time_left());
         let asked = timeout(limit, self.state.ask_run(&work.instance, connection)).await;
-        let reason: Box<str> = match asked {
+        let is_late = asked.is_err();
+        match asked {
             Ok(Ok((run, connection))) => {
                 self.state.metrics.note_run_check(run.label());
-                let Some(connection) = connection else {
-                    let opened = HttpConnection::open(work.instance.address).await;
-                    return opened.map_err(|error| self.unreached(work, &error));
-                };
-                return Ok(connection);
+                if let Some(connection) = connection {
+                    return Ok(connection);
+                }
             }
-            Ok(Err(error)) => error.to_string().into(),
-            Err(_) => "no answer in time".into(),
-        };
-        self.state.metrics.note_run_check("failed");
-        self.state.note_failure(clock::now(), work.ticket.endpoint, &work.instance.name);
-        Err(format!("the endpoint did not state its run: {reason}").into())
+            Ok(Err(error)) => {
+                self.state.metrics.note_run_check("failed");
+                let endpoint = work.ticket.endpoint;
+                self.state.note_failure(clock::now(), endpoint, &work.instance.name);
+                return Err(format!("the endpoint did not state its run: {error}").into());
+            }
+            Err(_) => {
+                log::info!(
+                    target: part::REQUEST,
+                    request = &*self.request.id, endpoint = &*work.instance.name;
+                    "endpoint did not state its run in time"
+                );
+                self.state.metrics.note_run_check("late");
+            }
+        }
+        let opened = HttpConnection::open(work.instance.address).await;
+        let mut opened = opened.map_err(|error| self.unreached(work, &error))?;
+        if is_late {
+            opened.set_run(RunStatement::Unstated);
+        }
+        Ok(opened)
     }
 
     /// Checks the run behind a connection by the list of endpoints.
