A connection that was refused ends the run whose answer is checked

Cause: the answer had neither length nor chunks and ended as its endpoint crashed. The entry, which stood still for 1.4 s then, made its check late and found another process at the address, which states no start. Another request had been refused there before, which showed that no process listened; the check did not know.

Change: a refused connection after the run began makes the check's verdict 'crashed'.

An entry that stands still and tries no connection in between still takes such an answer for whole, if the process that is there then states no start.

--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -109,6 +109,8 @@
     due: HashMap<EndpointInstance, DueCheck>,
     /// Recent checks that an instance passed, the oldest first.
     passed: VecDeque<PassedCheck>,
+    /// Times at which connections to an instance were last refused, as no process listened.
+    refused: HashMap<EndpointInstance, TimePoint>,
 }
 
 impl CrashChecks {
@@ -133,6 +135,19 @@
         self.lock().due.remove(instance).unwrap_or_default()
     }
 
+    /// Notes that a connection to `instance` was refused, as no process listened.
+    pub(crate) fn note_refused(&self, now: TimePoint, instance: &EndpointInstance) {
+        let mut state = self.lock();
+        state.refused.retain(|_, at| now.since(*at) < REPLACEMENT_TIME);
+        state.refused.insert(instance.clone(), now);
+    }
+
+    /// Reports whether a connection to `instance` was refused after `began`, so that what listens at its
+    /// address now is another process.
+    fn was_refused_since(&self, instance: &EndpointInstance, began: TimePoint) -> bool {
+        self.lock().refused.get(instance).is_some_and(|at| *at >= began)
+    }
+
     fn note_passed(&self, check: PassedCheck) {
         let mut state = self.lock();
         state.passed.retain(|passed| check.at.since(passed.at) < REPLACEMENT_TIME);
@@ -197,10 +212,12 @@
             state.pool.put(&instance, connection);
             InstanceState::Alive
         }
-        Ok(connection) => match state.is_other_run(&instance, connection).await {
-            true => InstanceState::Crashed,
-            false => InstanceState::Alive,
-        },
+        Ok(connection) => {
+            let began = ended.iter().map(|(run, _)| run.began).min().unwrap_or_else(clock::now);
+            let has_ended = state.crash_checks.was_refused_since(&instance, began)
+                || state.is_other_run(&instance, connection).await;
+            if has_ended { InstanceState::Crashed } else { InstanceState::Alive }
+        }
         Err(ConnectionError::Refused) => InstanceState::Crashed,
         Err(_) => InstanceState::Unknown,
     };
--- a/crates/gateway/src/run_checks.rs
+++ b/crates/gateway/src/run_checks.rs
@@ -262,6 +262,9 @@
     }
 
     fn unreached(&self, work: &WorkGuard, error: &ConnectionError) -> Box<str> {
+        if matches!(error, ConnectionError::Refused) {
+            self.state.crash_checks.note_refused(clock::now(), &work.instance);
+        }
         self.state.note_unreached(work.sent_at, work.ticket.endpoint, &work.instance.name);
         error.to_string().into()
     }
