--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -271,14 +271,14 @@
 fn note_shares(marker: &OriginMarker) {
     for service in marker.services() {
         let spans: Vec<_> = marker.spans.iter().filter(|span| span.service == service).collect();
-        let open = spans.iter().filter(|span| span.until_ms.is_none()).count();
-        let announced = spans.iter().filter(|span| span.is_announced).count();
+        let open: Vec<_> = spans.iter().filter(|span| span.until_ms.is_none()).collect();
+        let announced = open.iter().filter(|span| span.is_announced).count();
         let lacking = spans.iter().filter(|span| span.lacks_records).count();
-        let shares = spans.last().map(|span| span.shares.as_slice()).unwrap_or_default();
+        let shares = open.last().map(|span| span.shares.as_slice()).unwrap_or_default();
         let shares = shares.iter().map(|share| format!("{}:{}", share.software, share.slots));
         log::info!(
             target: part::FOLLOW,
-            service = &*service, spans = spans.len(), open = open, announced = announced,
+            service = &*service, spans = spans.len(), open = open.len(), announced = announced,
             lacking_records = lacking, lost_ms = marker.lost_ms, entries = marker.entries.len(), era = marker.era, shares = shares.collect::<Vec<_>>().join(",");
             "stream shares written"
         );
