--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -13,8 +13,8 @@
 //! markers, and no start waits for it.
 //!
 //! A span is *announced* first. Entries go on beginning streams by the span before, and share the streams that they
-//! began. Once all of them know the announcement ([`SpanAck`]) and the store has these records, the span is
-//! *followed*: entries begin streams by it as soon as they hear of that. The span before *ends* when all
+//! began. Once all of them know the announcement ([`SpanAck`]) and the store has these records, or after a second, the span
+//! is *followed*: entries begin streams by it as soon as they hear of that. The span before *ends* when all
 //! entries have told that they follow the later one, and the store has what they began until then.
 //!
 //! An entry notes each stream as it begins, by the identifier of the attempt and the client account. Records are
@@ -26,8 +26,8 @@
 //!
 //! A take-up asks up the same way, its own entry first ([`StreamOrigins::find`]). A record answers it. Without one
 //! the root hub reads the store, after the question came, and answers by the spans in which such a stream may
-//! have begun: those that have not ended, and those that ended after an entry was lost whose last streams may
-//! have no record. If they name one version only, the stream began there. If they name several, its
+//! have begun: those that have not ended, and for [`STREAM_LIFE`] those that ended after an entry was lost whose last
+//! streams may have no record. If they name one version only, the stream began there. If they name several, its
 //! version follows if all of them say the same of its identifier, and is derived if an entry was lost within
 //! [`STREAM_LIFE`]; otherwise nobody began such a stream. What callers say of their patience plays no part.
 //!
@@ -38,7 +38,7 @@
 //! * its caller came back later than twice the patience that it stated before, and no entry has heard of it since;
 //! * or its caller names another attempt than those that brought it events;
 //! * or it began at an entry that served without the marker, which an entry waits for 2 s after its first
-//!   configuration, or that reached no root hub for [`STREAM_LIFE`];
+//!   configuration, or that reached no root hub for half of [`STREAM_LIFE`];
 //! * or an endpoint that states no start was back under its name with other software before the store listed it,
 //!   and the entry that sent the take-up had not noticed that it had ended;
 //! * or the store came back from an older copy, and all entries that knew of a span and of the streams that
--- a/crates/kernel/src/stream_origin/share_span.rs
+++ b/crates/kernel/src/stream_origin/share_span.rs
@@ -7,7 +7,7 @@
 /// The shares by which the streams of a service begin, and when.
 ///
 /// A span is announced first, and entries begin streams by it once it is followed. It ends when every entry
-/// follows a later one, and has told its hub of all streams that it began before.
+/// follows a later one, and the store has all streams that it began before.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareSpan {
     /// The service.
--- a/crates/kernel/src/stream_origin/span_acks.rs
+++ b/crates/kernel/src/stream_origin/span_acks.rs
@@ -23,8 +23,8 @@
 /// What a group of entries knows of the shares by which streams begin.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpanAck {
-    /// Beginning of the newest span that all of them know, in milliseconds of the wall clock; 0 if one of
-    /// them knows none.
+    /// Time of the newest span that all of them know, or of its being followed, in milliseconds of the wall clock;
+    /// 0 if one of them knows none, or if the receiver lacks records from before.
     pub known_ms: u64,
     /// Digest of `entries`.
     pub digest: u64,
