--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,18 +15,18 @@
 * [`process`] starts an entry and drains it on SIGTERM or SIGINT.
 * `callers` accepts callers' connections and reads each request as a `caller_request`; `dispatcher`
   sends the request to endpoints until one of them responds (`choice_log` and `crash_refusals` belong to
-  it); `relay` forwards the response to the
-  caller.
-* `state` holds what all requests share, each behind a [`state_lock`]; `panic_guard` starts tasks again: the current `route_table`, the endpoints and the retry
-  budgets.
+  it); `response_checks` tells whether a response belongs to the request (`response_owner`); `relay` forwards it
+  to the caller, streams through `stream_frames`.
+* `state` holds what all requests share, each behind a [`state_lock`]: the current `route_table`, the copy of the
+  `endpoints` and the retry budgets. `panic_guard` shields single records, and tasks are started again.
 * `run_checks` finds out which run of an endpoint is behind a connection (`run_statement`, `run_doubts`), as the
   version of a stream is a fact of the run that writes it.
 * `crash_checks` finds out whether an endpoint that lost requests has crashed, and `suspects` keeps the
   records of these crashes in the store.
 * `limits` takes the limits that endpoints name from their answers, and exchanges them and the tickets for
   sends with other entries; the kernel's `send_limit` decides.
-* `origins` finds the software version at which a stream may go on, and keeps the versions of streams in
-  the store; the kernel's `stream_origin` decides.
+* `origins` finds the software version at which a stream may begin or go on, `origin_publisher` keeps the versions
+  of streams in the store, and `origin_calls` wakes it; the kernel's `stream_origin` decides.
 * `follow` updates this state from the store or, through `peer`, from another entry that reads the
   store.
 * `duty` sends this entry's request counts to the hub or the store, and reports usage if this entry
