--- a/crates/kernel/src/duty/holder.rs
+++ b/crates/kernel/src/duty/holder.rs
@@ -180,7 +180,7 @@
             let windows = record.windows.into_iter().map(|closed| (closed.window, closed));
             self.closed.extend(windows);
         } else if let Some(last) = record.windows.last() {
-            self.first_closable = self.first_closable.max(last.window + 1);
+            self.first_closable = self.first_closable.max(last.window.saturating_add(1));
         }
     }
 
