Continue a broken stream only by an answer that proves to be its continuation

Callers saw (reported by operators of like systems): the error of the next endpoint in the middle of their stream, or a stream that ended as complete although it had broken off.

Cause: StreamRelay::resume took every answer with a status of success for the rest of the stream. Empty answers ended it, and events without an identifier counted as in order, wherever they stood.

Change: an answer continues a stream if it has the status and content coding of the first answer, is a stream of events, and its first event bears the identifier that follows the last one. It ends the stream only after such an event. An answer that does not is discarded, and the request goes elsewhere within its runs and the retry budget. A first answer that is no stream of events is passed on as it is. The relay of streams moves to a file of its own. Log line 'answer does not continue the stream', metric resumed_streams.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -190,6 +190,23 @@
         self.await_retry(RunOutcome::Failed, true).await
     }
 
+    /// Excludes the endpoint of `work`, whose answer does not continue the request's stream, and waits
+    /// until the request may be sent again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request must not be sent again.
+    pub(crate) async fn await_retry_after_other_answer(
+        &mut self,
+        work: &WorkGuard,
+        reason: &str,
+    ) -> Result<(), DispatchFailure> {
+        self.runs += 1;
+        self.excluded.push(work.ticket.endpoint);
+        self.last_failure = Some(reason.into());
+        self.await_retry(RunOutcome::Lost, true).await
+    }
+
     /// Decides whether the request is sent again, and waits for the delay before the retry.
     ///
     /// Fails if the request must not be sent again. `reached` is true if any byte of the last send
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -117,7 +117,7 @@
     lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
-/// Returns the identifier of an event; the last one counts.
+/// Returns the identifier of an event, if it has one that is not empty; the last one counts.
 fn event_id(event: &[u8]) -> Option<&str> {
     event
         .split(|byte| *byte == b'\n')
@@ -125,15 +125,18 @@
         .filter_map(|line| line.strip_prefix(b"id:"))
         .find_map(|id| std::str::from_utf8(id).ok())
         .map(str::trim)
+        .filter(|id| !id.is_empty())
 }
 
 /// Reports whether an event with the identifier `next` may follow one with the identifier `last`.
 ///
-/// Identifiers rise by one if they are numbers; others cannot be compared, but differ.
+/// Identifiers rise by one if they are numbers; others cannot be compared, but differ. Once an event has
+/// one, an event without one has no place in the stream.
 fn is_next_event(last: Option<&str>, next: Option<&str>) -> bool {
-    let (Some(last), Some(next)) = (last, next) else { return true };
-    match (last.parse::<u64>(), next.parse::<u64>()) {
-        (Ok(last), Ok(next)) => last.checked_add(1) == Some(next),
-        _ => last != next,
+    let Some(last) = last else { return true };
+    let Some(next) = next else { return false };
+    match last.parse::<u64>() {
+        Ok(last) => last.checked_add(1).is_some_and(|expected| next.parse() == Ok(expected)),
+        Err(_) => last != next,
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,8 @@
 * `callers` accepts callers' connections and reads each request as a `caller_request`; `dispatcher`
   sends the request to endpoints until one of them responds (`choice_log` and `crash_refusals` belong to
   it); `response_checks` tells whether a response belongs to the request (`response_owner`); `relay` forwards it
-  to the caller, streams through `stream_frames`.
+  to the caller, and `stream_relay` a stream of events through `stream_frames`; what continues a stream that
+  broke off follows from its `stream_form` and the order of its events (`event_splitter`).
 * `state` holds what all requests share, each behind a [`state_lock`]: the current `route_table`, the copy of the
   `endpoints` and the retry budgets. `panic_guard` shields single records, and tasks are started again.
 * `run_checks` finds out which run of an endpoint is behind a connection (`run_statement`, `run_doubts`), as the
@@ -79,7 +80,9 @@
 mod state;
 pub mod state_lock;
 pub mod store;
+mod stream_form;
 mod stream_frames;
+mod stream_relay;
 mod suspects;
 mod topic_reader;
 pub mod wire;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     crash_checks: Counter<u64>,
     run_checks: Counter<u64>,
     disordered_streams: Counter<u64>,
+    resumed_streams: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
     endpoint_updates: Counter<u64>,
     limited_endpoints: Gauge<u64>,
@@ -73,6 +74,7 @@
             crash_checks: meter.u64_counter("crash_checks").build(),
             run_checks: meter.u64_counter("run_checks").build(),
             disordered_streams: meter.u64_counter("disordered_streams").build(),
+            resumed_streams: meter.u64_counter("resumed_streams").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             endpoint_updates: meter.u64_counter("endpoint_updates").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
@@ -136,6 +138,13 @@
         self.disordered_streams.add(1, &[]);
     }
 
+    /// Counts an answer that was to continue a stream: `outcome` is `continued` or `refused`, and `evidence`
+    /// is what told this.
+    pub(crate) fn note_resumed(&self, outcome: &'static str, evidence: &'static str) {
+        let outcome = KeyValue::new("outcome", outcome);
+        self.resumed_streams.add(1, &[outcome, KeyValue::new("evidence", evidence)]);
+    }
+
     /// Counts a check of the run behind a connection, with its verdict.
     pub(crate) fn note_run_check(&self, verdict: &'static str) {
         self.run_checks.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,26 +11,22 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
-use pimentorock_kernel::{answer::AnswerLimits, time::TimePoint};
-use tokio::{sync::mpsc, time::Sleep};
+use pimentorock_kernel::answer::AnswerLimits;
 
 use crate::{
-    body_framing::BodyFraming,
     clock,
     connection::ConnectionBody,
     dispatch_failure::DispatchFailure,
     dispatcher::RequestDispatcher,
     endpoint_response::EndpointResponse,
-    event_splitter::{EventBatch, EventSplitter},
     fleet_config::{RouteKind, RouteSpec},
     logs::part,
     message_buffers::{HeldMessage, MessageBuffer},
-    stream_frames::{CompletionMark, StreamFrames},
+    stream_form::StreamForm,
+    stream_frames::StreamFrames,
+    stream_relay::streamed_response,
 };
 
-/// Number of stream frames that are buffered for a slow caller.
-const FRAME_BUFFER: usize = 8;
-
 /// Maximum size of a response that is buffered before it is sent to the caller, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 16 << 20;
 
@@ -46,10 +42,6 @@
 const TARGETS_WAITED: u32 = 4;
 const PAUSES_WAITED: u32 = 8;
 
-/// Time after which a caller gets the comments of a stream although no event follows, so that its
-/// connection is kept.
-const MAX_SILENCE: Duration = Duration::from_secs(5);
-
 /// Size of the parts in which a complete response is handed to the caller's connection, in bytes.
 const PART_BYTES: usize = 64 << 10;
 
@@ -126,8 +118,8 @@
         };
         note_first_byte(&dispatcher);
         let streams = dispatcher.request.route.kind == RouteKind::Stream;
-        if streams && response.parts.status.is_success() {
-            return streamed_response(dispatcher, response);
+        if let Some(form) = StreamForm::new(&response.parts).filter(|_| streams) {
+            return streamed_response(dispatcher, response, form);
         }
         match buffered_response(&mut dispatcher, response).await {
             Ok(response) => return response,
@@ -244,7 +236,7 @@
 }
 
 /// Returns the limits of one event of a stream.
-fn event_limits(route: &RouteSpec) -> AnswerLimits {
+pub(crate) fn event_limits(route: &RouteSpec) -> AnswerLimits {
     AnswerLimits { bytes: MAX_EVENT_BYTES, patience: patience(route) }
 }
 
@@ -287,16 +279,17 @@
 }
 
 /// Reason for dropping the largest incomplete messages.
-const EVICTED: &str = "messages need more memory than they may have";
+pub(crate) const EVICTED: &str = "messages need more memory than they may have";
 
 /// Reason for taking an answer that ended with its connection for an incomplete one.
-const ENDED_WITH_ENDPOINT: &str = "it ended with its connection, and its endpoint with it";
+pub(crate) const ENDED_WITH_ENDPOINT: &str =
+    "it ended with its connection, and its endpoint with it";
 
-fn millis(span: Duration) -> i64 {
+pub(crate) fn millis(span: Duration) -> i64 {
     span.as_millis() as i64
 }
 
-fn caller_headers(dispatcher: &RequestDispatcher, headers: &HeaderMap) -> HeaderMap {
+pub(crate) fn caller_headers(dispatcher: &RequestDispatcher, headers: &HeaderMap) -> HeaderMap {
     let mut headers = (dispatcher.state.codec.response_headers)(headers);
     headers.remove(header::CONTENT_LENGTH);
     headers
@@ -313,285 +306,13 @@
 /// A buffered response begins with its head, a stream with its first event. A request is counted
 /// again for each response that replaces a failed or truncated buffered response; a stream is
 /// counted once, even if another endpoint resumes it.
-fn note_start(dispatcher: &RequestDispatcher) {
+pub(crate) fn note_start(dispatcher: &RequestDispatcher) {
     if let Some(account) = &dispatcher.request.account {
         let wall_ms = dispatcher.state.wall_ms();
         dispatcher.state.usage_counter().note_start(wall_ms, account);
     }
 }
 
-/// Starts a task that relays a stream, and returns the response that carries the stream.
-fn streamed_response(
-    dispatcher: RequestDispatcher,
-    response: EndpointResponse,
-) -> Response<CallerBody> {
-    let (frames, receiver) = mpsc::channel(FRAME_BUFFER);
-    let headers = caller_headers(&dispatcher, &response.parts.headers);
-    let status = response.parts.status;
-    let last_event = dispatcher.request.last_event.clone();
-    let framing = response.framing;
-    let mark = CompletionMark::default();
-    let body = StreamFrames::new(receiver, mark.clone());
-    let relay = StreamRelay { dispatcher, frames, mark, framing, last_event, progress: None };
-    tokio::spawn(relay.run(response));
-    let mut response = Response::new(CallerBody::Stream(body));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
-
-/// How the relay of one endpoint's stream ended.
-#[derive(Debug, PartialEq, Eq)]
-enum RelayEnd {
-    Complete,
-    /// The caller closed its connection.
-    CallerGone,
-    DeadlinePassed,
-    /// The endpoint's stream was incomplete or invalid.
-    Broken(Box<str>),
-}
-
-/// Relays a stream to the caller; if the route allows it, a broken stream is resumed at another
-/// endpoint.
-struct StreamRelay {
-    dispatcher: RequestDispatcher,
-    frames: mpsc::Sender<Result<Bytes, TruncatedResponse>>,
-    mark: CompletionMark,
-    /// Framing of the last response.
-    framing: BodyFraming,
-    /// Identifier of the last event that was sent to the caller; `None` if there is none.
-    last_event: Option<Box<str>>,
-    /// Statistics of the events sent to the caller; `None` before the first event.
-    progress: Option<StreamProgress>,
-}
-
-/// Statistics of the events that were sent to the caller.
-struct StreamProgress {
-    events: u32,
-    /// Time of the first event.
-    first: TimePoint,
-    /// Time of the last event.
-    last: TimePoint,
-    longest_pause: Duration,
-}
-
-impl StreamProgress {
-    fn new(now: TimePoint) -> StreamProgress {
-        StreamProgress { events: 0, first: now, last: now, longest_pause: Duration::ZERO }
-    }
-
-    fn note(&mut self, now: TimePoint, events: u32) {
-        self.events = self.events.saturating_add(events);
-        self.longest_pause = self.longest_pause.max(now.since(self.last));
-        self.last = now;
-    }
-}
-
-impl StreamRelay {
-    async fn run(mut self, mut response: EndpointResponse) {
-        loop {
-            self.framing = response.framing;
-            let end = self.relay_events(&mut response).await;
-            let reason = match end {
-                RelayEnd::Complete => {
-                    let EndpointResponse { parts, head, framing, body, work } = response;
-                    self.dispatcher.note_completed(framing, parts.status);
-                    if !head.closes {
-                        self.dispatcher.state.pool.put(&work.instance, body.connection);
-                    }
-                    self.mark.set();
-                    return self.finish("served");
-                }
-                RelayEnd::CallerGone => return self.finish("caller_gone"),
-                RelayEnd::DeadlinePassed => return self.abort("the deadline passed").await,
-                RelayEnd::Broken(reason) => reason,
-            };
-            response = match self.resume(response, &reason).await {
-                Some(response) => response,
-                None => return self.abort(&reason).await,
-            };
-        }
-    }
-
-    /// Asks another endpoint to continue the stream after the last event that the caller received; it
-    /// has the software version of the one that sent the events.
-    ///
-    /// Returns `None` if the request must not be sent again or if the other endpoint fails.
-    async fn resume(&mut self, broken: EndpointResponse, reason: &str) -> Option<EndpointResponse> {
-        let EndpointResponse { body, work, .. } = broken;
-        // Dropping the body closes the connection, so that the endpoint stops its work.
-        drop(body);
-        let last_event = self.last_event.clone();
-        self.dispatcher.await_retry_after_lost_response(&work, reason).await.ok()?;
-        let before = work.instance.software.clone();
-        if self.progress.is_some() {
-            if !self.dispatcher.is_run_known(&work).await {
-                return None;
-            }
-            self.dispatcher.continue_after(&work);
-        }
-        drop(work);
-        let next = self.dispatcher.dispatch(last_event.as_deref()).await.ok()?;
-        log::info!(
-            target: part::REQUEST,
-            request = &*self.dispatcher.request.id, endpoint = &*next.work.instance.name,
-            version = &*next.work.instance.software, version_before = &*before,
-            last_event = last_event.as_deref().unwrap_or("none"), reason = reason;
-            "stream resumed"
-        );
-        next.parts.status.is_success().then_some(next)
-    }
-
-    async fn relay_events(&mut self, response: &mut EndpointResponse) -> RelayEnd {
-        let limits = event_limits(&self.dispatcher.request.route);
-        response.body.connection.limit_body(limits);
-        let mut splitter = EventSplitter::default();
-        let mut buffer = self.dispatcher.state.buffers.buffer();
-        let time_left = self.dispatcher.request.time_left();
-        let deadline = tokio::time::sleep(time_left);
-        tokio::pin!(deadline);
-        let mut forwarded_at = clock::now();
-        loop {
-            let frame = tokio::select! {
-                biased;
-                () = self.frames.closed() => return RelayEnd::CallerGone,
-                frame = response.body.frame() => frame,
-                () = buffer.evicted() => return RelayEnd::Broken(EVICTED.into()),
-                () = &mut deadline => return RelayEnd::DeadlinePassed,
-            };
-            let data = match frame {
-                None if splitter.is_within_event() => {
-                    return RelayEnd::Broken("it ended within an event".into());
-                }
-                None => {
-                    let is_whole = tokio::select! {
-                        () = self.frames.closed() => return RelayEnd::CallerGone,
-                        is_whole = self.dispatcher.is_whole(response.framing, &response.work) => is_whole,
-                    };
-                    if !is_whole {
-                        return RelayEnd::Broken(ENDED_WITH_ENDPOINT.into());
-                    }
-                    return match splitter.take_blank() {
-                        Some(blank) => {
-                            self.forward(blank, deadline).await.unwrap_or(RelayEnd::Complete)
-                        }
-                        None => RelayEnd::Complete,
-                    };
-                }
-                Some(Err(error)) => return self.broken(response, &error),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => data,
-                    Err(_) => continue,
-                },
-            };
-            let events = splitter.push(&data);
-            buffer.resize(splitter.held());
-            let Some(mut events) = events else {
-                let is_silent = clock::now().since(forwarded_at) >= MAX_SILENCE;
-                if let Some(blank) = is_silent.then(|| splitter.take_blank()).flatten() {
-                    forwarded_at = clock::now();
-                    if let Some(end) = self.forward(blank, deadline.as_mut()).await {
-                        return end;
-                    }
-                }
-                continue;
-            };
-            response.body.connection.complete_part();
-            forwarded_at = clock::now();
-            let is_ordered = events.keep_ordered(self.last_event.as_deref());
-            if events.count() > 0
-                && let Some(end) = self.forward_events(response, events, deadline.as_mut()).await
-            {
-                return end;
-            }
-            if !is_ordered {
-                self.dispatcher.state.metrics.note_disorder();
-                return RelayEnd::Broken("it goes on at another event".into());
-            }
-        }
-    }
-
-    /// Notes complete events of `response` and sends them to the caller, as [`forward`](StreamRelay::forward) does.
-    async fn forward_events(
-        &mut self,
-        response: &mut EndpointResponse,
-        events: EventBatch,
-        deadline: Pin<&mut Sleep>,
-    ) -> Option<RelayEnd> {
-        if self.progress.is_none() {
-            self.dispatcher.note_first_event(&response.work);
-        }
-        self.note_events(events.count());
-        response.work.started();
-        if let Some(id) = events.last_id() {
-            self.last_event = Some(id.into());
-        }
-        self.forward(events.bytes, deadline).await
-    }
-
-    /// Sends a part of the stream to the caller, and returns the end of the relay if this is not
-    /// possible before the deadline.
-    async fn forward(&self, part: Bytes, deadline: Pin<&mut Sleep>) -> Option<RelayEnd> {
-        tokio::select! {
-            sent = self.frames.send(Ok(part)) => sent.is_err().then_some(RelayEnd::CallerGone),
-            () = deadline => Some(RelayEnd::DeadlinePassed),
-        }
-    }
-
-    /// Returns the end of a stream whose connection failed.
-    fn broken(&self, response: &EndpointResponse, error: &hyper::Error) -> RelayEnd {
-        match response.body.connection.endless() {
-            Some(endless) => {
-                self.dispatcher.note_endless(&response.work.instance, endless);
-                RelayEnd::Broken(endless.to_string().into())
-            }
-            None => RelayEnd::Broken(error.to_string().into()),
-        }
-    }
-
-    fn note_events(&mut self, events: u32) {
-        let now = clock::now();
-        if self.progress.is_none() {
-            note_start(&self.dispatcher);
-        }
-        self.progress.get_or_insert_with(|| StreamProgress::new(now)).note(now, events);
-    }
-
-    fn finish(&mut self, outcome: &'static str) {
-        let request = &self.dispatcher.request;
-        let progress = self.progress.as_ref();
-        log::info!(
-            target: part::REQUEST,
-            request = &*request.id, route = &*request.route.name, outcome = outcome,
-            sends = self.dispatcher.sends(), framing = self.framing.label(),
-            events = progress.map_or(0, |progress| progress.events),
-            first_ms = progress.map_or(-1, |progress| millis(progress.first.since(request.arrived))),
-            pause_ms = progress.map_or(-1, |progress| millis(progress.longest_pause)),
-            total_ms = millis(clock::now().since(request.arrived));
-            "stream ended"
-        );
-        self.dispatcher.note_end(outcome);
-    }
-
-    /// Ends the stream with an error, so that the caller can detect the truncation.
-    async fn abort(&mut self, reason: &str) {
-        let request = &self.dispatcher.request;
-        log::warn!(
-            target: part::REQUEST,
-            request = &*request.id, route = &*request.route.name, reason = reason,
-            sends = self.dispatcher.sends(),
-            last_event = self.last_event.as_deref().unwrap_or("none");
-            "stream broken off"
-        );
-        self.finish("broken_off");
-        // If the caller reads nothing within the timeout, the error follows what it has not read yet.
-        let _ = tokio::time::timeout(ABORT_TIMEOUT, self.frames.send(Err(TruncatedResponse))).await;
-    }
-}
-
-/// Maximum time to wait for a slow caller when a stream is aborted.
-const ABORT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Returns a response with `status` and without a body.
 pub(crate) fn empty_response(status: StatusCode) -> Response<CallerBody> {
     let mut response = Response::new(CallerBody::Empty);
