Discard heads that begin no answer: a second head within the first, or a change of the protocol

Callers saw (reported by operators of like systems): a server stopped in the middle of its answer's head, and they got a 200 with an empty or short body. Heads that are only cut did no harm here: torn_answers plays each cut of an answer with a length, with chunks, with trailers and without a body, on new connections, on kept ones and after interim answers, through the head and through the body (1,290 cuts); none got a success, on neither.

Cause of two other forms of it: an endpoint that stops within the value of a header and writes its error then, whose status line becomes part of the value; the error's body came as a 200. And hyper hands a 101 on as a final answer, which callers got.

Evidence: two_heads_that_run_together_are_no_success failed for 6 of 14 answers before, an_answer_that_changes_the_protocol_is_no_answer in its first one.

Change: such heads count as lost, so a request that may run once gets 502. Log line 'response head discarded', metric discarded_heads.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,7 @@
 * [`process`] starts an entry and drains it on SIGTERM or SIGINT.
 * `callers` accepts callers' connections and reads each request as a `caller_request`; `dispatcher`
   sends the request to endpoints until one of them responds (`choice_log` and `crash_refusals` belong to
-  it); `response_checks` tells whether a response belongs to the request (`response_owner`); `relay` forwards it
+  it); `response_checks` tells whether a response belongs to the request (`response_owner`, `head_fault`); `relay` forwards it
   to the caller, and `stream_relay` a stream of events through `stream_frames`; what continues a stream that
   broke off follows from its `stream_form` and the order of its events (`event_splitter`).
 * `state` holds what all requests share, each behind a [`state_lock`]: the current `route_table`, the copy of the
@@ -54,6 +54,7 @@
 mod event_splitter;
 pub mod fleet_config;
 mod follow;
+mod head_fault;
 mod limits;
 pub mod log_queue;
 mod logs;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     lost_runs: Counter<u64>,
     endless_responses: Counter<u64>,
     foreign_responses: Counter<u64>,
+    discarded_heads: Counter<u64>,
     crash_checks: Counter<u64>,
     run_checks: Counter<u64>,
     disordered_streams: Counter<u64>,
@@ -71,6 +72,7 @@
             lost_runs: meter.u64_counter("lost_runs").build(),
             endless_responses: meter.u64_counter("endless_responses").build(),
             foreign_responses: meter.u64_counter("foreign_responses").build(),
+            discarded_heads: meter.u64_counter("discarded_heads").build(),
             crash_checks: meter.u64_counter("crash_checks").build(),
             run_checks: meter.u64_counter("run_checks").build(),
             disordered_streams: meter.u64_counter("disordered_streams").build(),
@@ -128,6 +130,11 @@
         self.foreign_responses.add(1, &[KeyValue::new("owner", owner)]);
     }
 
+    /// Counts a response head that begins no answer.
+    pub(crate) fn note_head_fault(&self, fault: &'static str) {
+        self.discarded_heads.add(1, &[KeyValue::new("fault", fault)]);
+    }
+
     /// Counts a check of an endpoint that lost runs, with its verdict.
     pub(crate) fn note_crash_check(&self, verdict: &'static str) {
         self.crash_checks.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/crates/gateway/src/response_checks.rs
+++ b/crates/gateway/src/response_checks.rs
@@ -11,6 +11,7 @@
     crash_checks::EndpointInstance,
     dispatcher::RequestDispatcher,
     endpoint_response::EndpointResponse,
+    head_fault::HeadFault,
     logs::part,
     response_owner::ResponseOwner,
     send_outcome::SendOutcome,
@@ -31,6 +32,10 @@
         work: WorkGuard,
     ) -> SendOutcome {
         let (parts, body) = response.into_parts();
+        if let Some(fault) = HeadFault::find(&parts) {
+            self.note_head_fault(&work.instance, &parts, fault);
+            return SendOutcome::Lost(fault.to_string().into());
+        }
         let head = (self.state.codec.response_head)(&parts.headers);
         let owner = ResponseOwner::new(&head, &self.request.id, connection.is_first_use());
         self.note_notices(&work.instance, owner, &parts, &head);
@@ -64,6 +69,22 @@
         SendOutcome::Answered(Box::new(EndpointResponse { parts, head, framing, body, work }))
     }
 
+    /// Logs and counts a head that is none.
+    fn note_head_fault(
+        &self,
+        instance: &EndpointInstance,
+        parts: &response::Parts,
+        fault: HeadFault,
+    ) {
+        log::warn!(
+            target: part::REQUEST,
+            request = &*self.request.id, endpoint = &*instance.name,
+            status = parts.status.as_u16(), reason = fault.to_string();
+            "response head discarded"
+        );
+        self.state.metrics.note_head_fault(fault.label());
+    }
+
     /// Applies what an instance asked for in a response. A misdirected request was answered by
     /// another instance.
     ///
