Answer what a stopping entry has taken, and refuse what may not be answered in time

Callers saw (reported by operators of like systems): in a planned stop, requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Cause: after the entry stopped accepting connections, a request whose head or body was still coming was passed on however little time was left, and the process ended without a word to callers whose requests were in progress.

Change: PlannedStop has the times of a stop. Log lines 'request refused: the entry stops' and 'answers are due', outcome refused_at_stop of the metric requests.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -50,6 +50,9 @@
 /// has no memory left for messages.
 const UNPREPARED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Delay in the retry header while the entry stops. Another entry takes the caller's next connection.
+pub(crate) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Maximum number of connections in the accept queue of a listening socket.
 pub(crate) const LISTEN_BACKLOG: u32 = 1024;
 
@@ -163,7 +166,7 @@
     guard: RequestGuard,
 ) -> Response<GuardedBody> {
     let mut response = response.map(|body| GuardedBody { body, _guard: guard });
-    if state.draining.load(Ordering::Relaxed) {
+    if state.planned_stop.has_begun() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -216,15 +219,31 @@
         return reject(state, &head.id, status, "unknown key", routes.version());
     }
     let time_left = head.time_left.unwrap_or(route.timeout).min(route.timeout);
+    if state.planned_stop.turns_away(arrived, time_left) {
+        return reject_stopping(state, &head.id, "head", time_left);
+    }
     let buffer = state.buffers.buffer();
-    let body = match read_body(body, routes.limits(), time_left, buffer).await {
+    let reading = read_body(body, routes.limits(), time_left, buffer);
+    let body = tokio::select! {
+        body = reading => body,
+        () = state.planned_stop.answers_due() => Err(BodyFault::Stopping),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(BodyFault::Evicted) => return reject_evicted(state, &head.id),
+        Err(BodyFault::Stopping) => {
+            return reject_stopping(state, &head.id, "body", Duration::ZERO);
+        }
         Err(BodyFault::Rejected(status)) => {
             let version = routes.version();
             return reject(state, &head.id, status, "body not read", version);
         }
     };
+    let now = clock::now();
+    let time_left = now.until(arrived + time_left);
+    if state.planned_stop.turns_away(now, time_left) {
+        return reject_stopping(state, &head.id, "body", time_left);
+    }
     let service = pick_service(&route, arrived);
     let mut request = CallerRequest::new(parts, body, head, route, service, arrived);
     if let Some(account) = account.filter(|_| routes.needs_key()) {
@@ -263,6 +282,8 @@
     Rejected(StatusCode),
     /// Messages need more memory than they may have.
     Evicted,
+    /// The entry stops before the body has come.
+    Stopping,
 }
 
 async fn read_body(
@@ -319,6 +340,26 @@
     response
 }
 
+/// Refuses a request that may not be answered before the entry stops, when its `phase` has come.
+fn reject_stopping(
+    state: &GatewayState,
+    id: &Option<Box<str>>,
+    phase: &str,
+    time_left: Duration,
+) -> Response<CallerBody> {
+    log::info!(
+        target: part::REQUEST,
+        request = id.as_deref().unwrap_or("none"), phase = phase,
+        time_left_ms = time_left.as_millis() as u64,
+        stop_ms = state.planned_stop.until_due(clock::now()).as_millis() as u64;
+        "request refused: the entry stops"
+    );
+    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    (state.codec.retry_after)(response.headers_mut(), STOPPING_RETRY_AFTER);
+    state.metrics.note_request("none", "refused_at_stop");
+    response
+}
+
 fn reject_unconfigured(state: &GatewayState) -> Response<CallerBody> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     (state.codec.retry_after)(response.headers_mut(), UNPREPARED_RETRY_AFTER);
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::{
     body_framing::BodyFraming,
     caller_request::CallerRequest,
+    callers::STOPPING_RETRY_AFTER,
     choice_log::limit_decision,
     clock,
     connection::ConnectionError,
@@ -60,8 +61,10 @@
     pub(crate) sends: u32,
     /// Number of sends that did not reach an endpoint.
     unreached: u32,
-    /// Number of sends after which the request may have run.
+    /// Number of sends that have ended, after which the request may have run.
     runs: u32,
+    /// Whether a send has begun that has not failed.
+    sending: bool,
     /// Reason of the last send that failed; `None` if no send failed.
     last_failure: Option<Box<str>>,
     /// Whether the end of the request was logged and counted.
@@ -100,6 +103,7 @@
             sends: 0,
             unreached: 0,
             runs: 0,
+            sending: false,
             last_failure: None,
             ended: false,
         }
@@ -133,6 +137,8 @@
             let choice = self.choose()?;
             let send_outcome = self.send(&choice, last_event).await;
             let reached = !matches!(send_outcome, SendOutcome::Unreached(_));
+            // An answer that has begun is a send that has not failed.
+            self.sending = matches!(send_outcome, SendOutcome::Answered(_));
             let (outcome, reason) = match send_outcome {
                 SendOutcome::Answered(response) => return Ok(*response),
                 SendOutcome::DeadlinePassed => {
@@ -166,7 +172,7 @@
         work: &WorkGuard,
         reason: &str,
     ) -> Result<(), DispatchFailure> {
-        self.runs += 1;
+        self.note_run_ended();
         self.note_lost_run(work, "answer", reason);
         self.excluded.push(work.ticket.endpoint);
         self.last_failure = Some(reason.into());
@@ -184,7 +190,7 @@
         work: &WorkGuard,
         status: StatusCode,
     ) -> Result<(), DispatchFailure> {
-        self.runs += 1;
+        self.note_run_ended();
         self.excluded.push(work.ticket.endpoint);
         self.last_failure = Some(format!("the endpoint answered {status}").into());
         self.await_retry(RunOutcome::Failed, true).await
@@ -201,12 +207,18 @@
         work: &WorkGuard,
         reason: &str,
     ) -> Result<(), DispatchFailure> {
-        self.runs += 1;
+        self.note_run_ended();
         self.excluded.push(work.ticket.endpoint);
         self.last_failure = Some(reason.into());
         self.await_retry(RunOutcome::Lost, true).await
     }
 
+    /// Counts a run whose answer is of no use.
+    fn note_run_ended(&mut self) {
+        self.runs += 1;
+        self.sending = false;
+    }
+
     /// Decides whether the request is sent again, and waits for the delay before the retry.
     ///
     /// Fails if the request must not be sent again. `reached` is true if any byte of the last send
@@ -290,6 +302,22 @@
         DispatchFailure { status, reason, retry_after: None, code: None }
     }
 
+    /// Returns the failure for a request that has no answer when the entry stops.
+    pub(crate) fn stop_failure(&self) -> DispatchFailure {
+        let reason = "the entry stops".into();
+        if self.runs == 0 && !self.sending {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let retry_after = Some(STOPPING_RETRY_AFTER);
+            return DispatchFailure { status, reason, retry_after, code: None };
+        }
+        DispatchFailure {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            reason,
+            retry_after: None,
+            code: None,
+        }
+    }
+
     /// Records a run whose connection was lost, and quarantines the endpoint; `phase` is `head` or
     /// `answer`, the part of the response that was lost.
     ///
@@ -408,6 +436,7 @@
             return SendOutcome::Unreached("the endpoint takes no requests meanwhile".into());
         }
         let request = self.forwarded_request(choice, last_event);
+        self.sending = true;
         let response =
             tokio::time::timeout(self.request.time_left(), connection.send(request)).await;
         let send_outcome = match response {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,7 @@
 
 * [`settings`], [`fleet_config`], [`wire`] and [`store`] define what an adapter provides.
 * [`connection`] sends requests over one connection; `connection_pool` keeps idle connections.
-* [`process`] starts an entry and drains it on SIGTERM or SIGINT.
+* [`process`] starts an entry and drains it on SIGTERM or SIGINT; `planned_stop` has the times of that.
 * `callers` accepts callers' connections and reads each request as a `caller_request`; `dispatcher`
   sends the request to endpoints until one of them responds (`choice_log` and `crash_refusals` belong to
   it); `response_checks` tells whether a response belongs to the request (`response_owner`, `head_fault`); `relay` forwards it
@@ -66,6 +66,7 @@
 mod origins;
 mod panic_guard;
 mod peer;
+mod planned_stop;
 pub mod process;
 mod ready;
 mod relay;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,12 +1,12 @@
 //! Runs one entry, which is a gateway process: starts its tasks, serves requests, drains connections
 //! and stops.
 
-use std::{net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     net::{TcpListener, TcpSocket},
     signal::unix::{SignalKind, signal},
-    time::sleep,
+    time::{sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -15,7 +15,9 @@
     error::{ErrorKind, GatewayError},
     follow,
     logs::{self, part},
-    origin_publisher, peer, ready,
+    origin_publisher, peer,
+    planned_stop::GRACE_MARGIN,
+    ready,
     settings::GatewaySettings,
     state::GatewayState,
     store::FleetStore,
@@ -23,13 +25,6 @@
     wire::WireCodec,
 };
 
-/// Maximum time from the stop signal until the entry accepts no more connections. The load balancer
-/// checks readiness once a second and needs two answers to take the entry out of service.
-const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
-
-/// How long before the end of the grace period the process stops waiting for open connections.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
-
 /// Time between reads of the settings that detect a change without a signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(5);
 
@@ -155,21 +150,32 @@
         move |state, stop: CancellationToken| follow_settings(state, Arc::clone(&reload), stop);
     tokio::spawn(lasting_task(&state, &stop_tasks, "follow_settings", follow));
     stop.cancelled().await;
-    let signalled = clock::now();
-    state.draining.store(true, Ordering::Relaxed);
+    state.planned_stop.begin(clock::now(), grace);
     log::info!(target: part::PROCESS, grace_ms = grace.as_millis() as u64; "stopping");
-    sleep(DRAIN_NOTICE.min(grace / 3)).await;
+    sleep(state.planned_stop.until_closed(clock::now())).await;
     stop_serving.cancel();
     connections.close();
-    let left = grace.saturating_sub(GRACE_MARGIN + clock::now().since(signalled));
-    let drained = tokio::time::timeout(left, connections.wait()).await.is_ok();
+    let drained = drain(&state, &connections).await;
     stop_tasks.cancel();
     awaited_tasks.close();
     // The last counts must reach the store; the timeout covers a store that does not answer.
-    let shared = tokio::time::timeout(GRACE_MARGIN / 2, awaited_tasks.wait()).await.is_ok();
+    let shared = timeout(GRACE_MARGIN / 2, awaited_tasks.wait()).await.is_ok();
     log::info!(target: part::PROCESS, drained = drained, shared = shared; "stopped");
 }
 
+/// Waits until all connections are closed; requests that have no answer when answers are due get one then.
+///
+/// Returns false if connections are open at the end of the grace period.
+async fn drain(state: &GatewayState, connections: &TaskTracker) -> bool {
+    let until_due = state.planned_stop.until_due(clock::now());
+    if timeout(until_due, connections.wait()).await.is_ok() {
+        return true;
+    }
+    log::info!(target: part::PROCESS, open = connections.len(); "answers are due");
+    state.planned_stop.end_answers();
+    timeout(state.planned_stop.until_end(clock::now()), connections.wait()).await.is_ok()
+}
+
 /// Starts the tasks that follow the store and exchange state with other entries.
 fn start_followers(state: &Arc<GatewayState>, stop: &CancellationToken) {
     tokio::spawn(lasting_task(state, stop, "follow_config", follow::follow_config));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -105,25 +106,42 @@
     }
 }
 
+/// What a caller gets.
+enum CallerAnswer {
+    Complete(Response<CallerBody>),
+    /// The rest of a stream that has begun, and what its head says.
+    Stream(Box<EndpointResponse>, StreamForm),
+}
+
 /// Sends the request to endpoints and returns the response for the caller.
+///
+/// If the entry stops meanwhile, the response comes before it ends.
 pub(crate) async fn respond(mut dispatcher: RequestDispatcher) -> Response<CallerBody> {
-    if let Err(failure) = dispatcher.find_version().await {
-        return failure_response(&mut dispatcher, &failure);
+    let state = Arc::clone(&dispatcher.state);
+    let answer = tokio::select! {
+        answer = find_answer(&mut dispatcher) => answer,
+        () = state.planned_stop.answers_due() => Err(dispatcher.stop_failure()),
+    };
+    match answer {
+        Ok(CallerAnswer::Complete(response)) => response,
+        Ok(CallerAnswer::Stream(response, form)) => streamed_response(dispatcher, *response, form),
+        Err(failure) => failure_response(&mut dispatcher, &failure),
     }
+}
+
+async fn find_answer(dispatcher: &mut RequestDispatcher) -> Result<CallerAnswer, DispatchFailure> {
+    dispatcher.find_version().await?;
     let last_event = dispatcher.request.last_event.clone();
     loop {
-        let response = match dispatcher.dispatch(last_event.as_deref()).await {
-            Ok(response) => response,
-            Err(failure) => return failure_response(&mut dispatcher, &failure),
-        };
-        note_first_byte(&dispatcher);
+        let response = dispatcher.dispatch(last_event.as_deref()).await?;
+        note_first_byte(dispatcher);
         let streams = dispatcher.request.route.kind == RouteKind::Stream;
         if let Some(form) = StreamForm::new(&response.parts).filter(|_| streams) {
-            return streamed_response(dispatcher, response, form);
+            return Ok(CallerAnswer::Stream(Box::new(response), form));
         }
-        match buffered_response(&mut dispatcher, response).await {
-            Ok(response) => return response,
-            Err(Some(failure)) => return failure_response(&mut dispatcher, &failure),
+        match buffered_response(dispatcher, response).await {
+            Ok(response) => return Ok(CallerAnswer::Complete(response)),
+            Err(Some(failure)) => return Err(failure),
             // The response was discarded; the loop dispatches the request again.
             Err(None) => {}
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, MutexGuard,
-        atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering},
+        atomic::{AtomicI64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -35,6 +35,7 @@
     metrics::GatewayMetrics,
     origin_calls::OriginCalls,
     peer::OriginClients,
+    planned_stop::PlannedStop,
     route_table::RouteTable,
     run_doubts::RunDoubts,
     settings::GatewaySettings,
@@ -74,8 +75,7 @@
     clock_filter: StateLock<ClockFilter>,
     /// Milliseconds by which most wall clocks are ahead of this host's wall clock.
     clock_skew: AtomicI64,
-    /// Whether the process is draining connections before it stops.
-    pub(crate) draining: AtomicBool,
+    pub(crate) planned_stop: PlannedStop,
     view: StateLock<SharedView>,
     endpoints: StateLock<EndpointCopy<Bytes>>,
     table: StateLock<PlacementTable>,
@@ -144,7 +144,7 @@
             metrics: GatewayMetrics::new(),
             clock_filter: StateLock::new(ClockFilter::new()),
             clock_skew: AtomicI64::new(0),
-            draining: AtomicBool::new(false),
+            planned_stop: PlannedStop::default(),
             view: StateLock::new(SharedView::new(roster)),
             endpoints: StateLock::new(EndpointCopy::new()),
             budgets: StateLock::new(HashMap::new()),
@@ -271,7 +271,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.routes.load().is_some() && !self.directory().is_empty();
         let knows_others = self.knows_fleet() && self.table().limits().knows();
-        known && knows_others && !self.draining.load(Ordering::Relaxed)
+        known && knows_others && !self.planned_stop.has_begun()
     }
 
     /// Applies a configuration if it is newer than the current one.
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream of events to the caller; a stream that breaks off goes on at another endpoint.
 
-use std::{pin::Pin, time::Duration};
+use std::{pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::Response;
@@ -62,6 +62,8 @@
     /// The caller closed its connection.
     CallerGone,
     DeadlinePassed,
+    /// The entry stops.
+    Stopping,
     /// The endpoint's stream was incomplete or invalid.
     Broken(Box<str>),
 }
@@ -106,10 +108,14 @@
 
 impl StreamRelay {
     async fn run(mut self, mut response: EndpointResponse) {
+        let state = Arc::clone(&self.dispatcher.state);
         let mut resumed = false;
         loop {
             self.framing = response.framing;
-            let end = self.relay_events(&mut response, resumed).await;
+            let end = tokio::select! {
+                end = self.relay_events(&mut response, resumed) => end,
+                () = state.planned_stop.answers_due() => RelayEnd::Stopping,
+            };
             let reason = match end {
                 RelayEnd::Complete => {
                     let EndpointResponse { parts, head, framing, body, work } = response;
@@ -122,9 +128,14 @@
                 }
                 RelayEnd::CallerGone => return self.finish("caller_gone"),
                 RelayEnd::DeadlinePassed => return self.abort("the deadline passed").await,
+                RelayEnd::Stopping => return self.abort("the entry stops").await,
                 RelayEnd::Broken(reason) => reason,
             };
-            response = match self.resume(response, &reason).await {
+            let next = tokio::select! {
+                next = self.resume(response, &reason) => next,
+                () = state.planned_stop.answers_due() => None,
+            };
+            response = match next {
                 Some(response) => response,
                 None => return self.abort(&reason).await,
             };
