End the take-up of a stream whose caller leaves meanwhile

Cause: StreamRelay::run watched the caller's connection while it relayed events, not while it asked other endpoints. Evidence: a_caller_that_leaves_while_its_stream_is_taken_up_ends_the_take_up failed before (813 ms until the connection to the endpoint was closed, by the route's timeout of 1.5 s; 500 ms allowed). Change: the take-up is dropped when the caller's connection closes, which closes its connection to the endpoint. Result: the test passes, with the others of stream_continuations.

--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -131,8 +131,11 @@
                 RelayEnd::Stopping => return self.abort("the entry stops").await,
                 RelayEnd::Broken(reason) => reason,
             };
+            let frames = self.frames.clone();
             let next = tokio::select! {
                 next = self.resume(response, &reason) => next,
+                // Dropping the take-up closes its connection, so that the endpoint stops its work.
+                () = frames.closed() => return self.finish("caller_gone"),
                 () = state.planned_stop.answers_due() => None,
             };
             response = match next {
