Take only what failed reads show for an outage of the store

Cause: EndpointDirectory took the time since the own last read for an outage. An entry that follows another one does not read; as it became a root hub, each removal counted as an expiry, and the endpoint was kept as the last resort for 2.5 s. So was whatever an adopted list lacked. Entries behind a hub saw no outage at all. The class: a position in time that was taken over, and believed to be one's own.

Change: an outage is a read of this entry that failed while nothing that any entry has read is newer than 1.5 s. Its end travels with the answers of hubs. What a list of the same era lacks is gone at once, unless an outage has just ended; for that an_entry_behind_a_list_hears_of_what_is_absent now expects that the endpoint is gone, where it was kept for 2.5 s before: stricter.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -171,6 +171,8 @@
     /// What the reporting entry lacks of the endpoints after the report's `endpoints_next`; `None` if
     /// it lacks nothing.
     pub(crate) endpoints: Option<CopyUpdate<Vec<u8>>>,
+    /// Time since the end of the last outage of the store, in milliseconds; `None` if it is long ago.
+    pub(crate) outage_age_ms: Option<u64>,
     /// Load that all entries outside the reporting entry's group have placed on endpoints.
     pub(crate) load: GroupLoad,
     /// Number of endpoints of the strict classes of each partitioned service.
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -353,7 +353,10 @@
             let view = self.view();
             (view.follower.current_at(), view.follower.reader())
         };
-        let endpoints = self.endpoints().update_for(report.endpoints_next);
+        let (endpoints, outage_end) = {
+            let copy = self.endpoints();
+            (copy.update_for(report.endpoints_next), copy.directory().outage_end(now))
+        };
         let endpoints = endpoints.map(|update| update.map_values(|value| value.to_vec()));
         let mut view = self.view();
         view.note_reporter(now, &report);
@@ -381,6 +384,7 @@
             reader,
             config: newer.map(|(_, record)| PeerRecord::from(record.clone())),
             endpoints,
+            outage_age_ms: outage_end.map(|end| age_ms(now, end)),
             load: view.load_aggregator.outside(now, &report.process, &own),
             strict_counts,
             wall_ms: self.wall_ms(),
@@ -426,6 +430,10 @@
         if let Some(record) = update.config {
             self.apply_record(StoreTopic::Config, &record.into(), "peer");
         }
+        if let Some(age_ms) = update.outage_age_ms {
+            let end = sent_at - Duration::from_millis(age_ms);
+            self.endpoints().note_outage_end(end);
+        }
         // What a peer knows of an earlier era of the store may be lost.
         let is_current = self.note_era(update.era, "peer") != EraChange::Outdated
             && update.endpoints.is_none_or(|endpoints| {
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -129,7 +129,8 @@
     /// Applies the records of a read from the offset `from`, or the newest records if it is `None`.
     fn apply_batch(&self, batch: RecordBatch, from: Option<u64>) -> Result<(), StoreError> {
         if self.topic == StoreTopic::Endpoints {
-            self.state.endpoints().note_contact(clock::now());
+            let current_at = self.state.view().endpoints_current_at();
+            self.state.endpoints().note_contact(clock::now(), current_at);
             let update = match from {
                 Some(from) => batch.into_continuation(from),
                 None => batch.into_list(),
@@ -173,6 +174,9 @@
             );
         }
         self.failing = true;
+        if self.topic == StoreTopic::Endpoints {
+            self.state.endpoints().note_failed_read();
+        }
         if self.topic != StoreTopic::Suspects {
             self.state.view().follower.note_failed_read();
         }
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -204,6 +204,7 @@
             config: None,
             endpoints: if self.draw() { Some(self.endpoints()) } else { None },
             load: self.load(),
+            outage_age_ms: if self.draw() { Some(self.u64()) } else { None },
             strict_counts: self.list(|source| (source.name(), source.u32())),
             wall_ms: self.u64(),
             entries: self.list(FigureSource::entry),
--- a/crates/kernel/src/place/endpoint_copy.rs
+++ b/crates/kernel/src/place/endpoint_copy.rs
@@ -73,9 +73,19 @@
         self.position
     }
 
-    /// Notes that the store answered.
-    pub fn note_contact(&mut self, now: TimePoint) {
-        self.directory.note_contact(now);
+    /// Notes that the store answered a read of this entry; see [`EndpointDirectory::note_contact`].
+    pub fn note_contact(&mut self, now: TimePoint, current_at: TimePoint) {
+        self.directory.note_contact(now, current_at);
+    }
+
+    /// Notes that a read of this entry failed.
+    pub fn note_failed_read(&mut self) {
+        self.directory.note_failed_read();
+    }
+
+    /// Notes that an outage of the store, which another entry saw, ended at `end`.
+    pub fn note_outage_end(&mut self, end: TimePoint) {
+        self.directory.note_outage_end(end);
     }
 
     /// Removes the endpoints whose record is gone and whose grace period is over, and returns them.
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -12,8 +12,9 @@
 /// the outage can register again.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
 
-/// Time without an answer from the store that counts as an outage. Entries may lapse during an
-/// outage although their endpoints are alive. The value is longer than the time between two reads.
+/// Time for which no entry has read the store that counts as an outage, if the store was asked. Entries may
+/// lapse during an outage although their endpoints are alive. The value is longer than the time between two
+/// reads.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 
 /// Description that an endpoint wrote to the store.
@@ -79,8 +80,8 @@
     rows: HashMap<Box<str>, DirectoryRow>,
     /// Number of rows with an entry.
     live: usize,
-    /// Last time at which the store answered.
-    last_contact: Option<TimePoint>,
+    /// Whether the last read of this entry failed.
+    is_failing: bool,
     /// End of the last outage of the store.
     outage_end: Option<TimePoint>,
 }
@@ -91,12 +92,31 @@
         EndpointDirectory::default()
     }
 
-    /// Notes that the store answered.
-    pub fn note_contact(&mut self, now: TimePoint) {
-        if self.last_contact.is_some_and(|contact| now.since(contact) > MIN_OUTAGE) {
+    /// Notes that the store answered a read of this entry; what some entry had read before matched the store
+    /// at `current_at`.
+    ///
+    /// The time for which this entry did not read is no evidence of an outage, as it may have followed another
+    /// entry.
+    pub fn note_contact(&mut self, now: TimePoint, current_at: TimePoint) {
+        if self.is_failing && now.since(current_at) > MIN_OUTAGE {
             self.outage_end = Some(now);
         }
-        self.last_contact = Some(now);
+        self.is_failing = false;
+    }
+
+    /// Notes that a read of this entry failed.
+    pub fn note_failed_read(&mut self) {
+        self.is_failing = true;
+    }
+
+    /// Returns the end of the last outage of the store, if entries that lapsed in it may still register again.
+    pub fn outage_end(&self, now: TimePoint) -> Option<TimePoint> {
+        self.outage_end.filter(|end| now < *end + LAPSE_GRACE)
+    }
+
+    /// Notes that an outage of the store, which another entry saw, ended at `end`.
+    pub fn note_outage_end(&mut self, end: TimePoint) {
+        self.outage_end = self.outage_end.max(Some(end));
     }
 
     /// Applies the record at `position` of the endpoint `name` and returns the resulting change.
@@ -128,7 +148,7 @@
         let entry = record.map(|record| record.entry);
         let before = known.and_then(|row| row.entry.clone());
         let was_lapsed = known.is_some_and(|row| row.lapses_at.is_some());
-        let grace_end = self.outage_end.map(|end| end + LAPSE_GRACE).filter(|end| now < *end);
+        let grace_end = self.outage_end(now).map(|end| end + LAPSE_GRACE);
         let still_ready = before.as_ref().is_some_and(|before| !before.leaving);
         let grace_end = grace_end.filter(|_| entry.is_none() && still_ready);
         let lapsed = grace_end.is_some();
@@ -149,7 +169,8 @@
         }
     }
 
-    /// Marks all entries as expired that are missing from a complete list of the store.
+    /// Removes all entries that are missing from a complete list of the store, or marks them as expired if
+    /// they may have lapsed in an outage, or if the store has come back from an older copy since.
     ///
     /// The list covers all records before `end`; later entries are left alone.
     pub fn keep_listed(
@@ -158,12 +179,24 @@
         listed: &HashSet<&str>,
         end: LogPosition,
     ) -> Vec<DirectoryChange> {
+        let outage_end = self.outage_end(now);
         let mut changes = Vec::new();
         for (name, row) in &mut self.rows {
             let missing = row.position < end && !listed.contains(&**name);
-            if missing && row.entry.is_some() && row.lapses_at.is_none() {
-                row.lapses_at = Some(now + LAPSE_GRACE);
-                changes.push(DirectoryChange::Lapsed(name.clone()));
+            if !missing || row.entry.is_none() || row.lapses_at.is_some() {
+                continue;
+            }
+            let returned = (row.position.era < end.era).then_some(now);
+            match returned.or(outage_end) {
+                Some(outage_end) => {
+                    row.lapses_at = Some(outage_end + LAPSE_GRACE);
+                    changes.push(DirectoryChange::Lapsed(name.clone()));
+                }
+                None => {
+                    row.entry = None;
+                    self.live -= 1;
+                    changes.push(DirectoryChange::Gone(name.clone()));
+                }
             }
         }
         changes
--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -152,7 +152,8 @@
             let (name, end) = (source.name(), position.next());
             directory.take(now, &name, position, record.clone());
             let _ = record.map(|record| directory.is_outdated(&name, &record));
-            directory.note_contact(now);
+            directory.note_failed_read();
+            directory.note_contact(now, TimePoint::ZERO);
             directory.keep_listed(now, &HashSet::new(), end);
             directory.expire(now);
             let _ = position.fencing();
--- a/crates/kernel/tests/place_copy.rs
+++ b/crates/kernel/tests/place_copy.rs
@@ -319,7 +319,7 @@
     let update = hub.update_for(asker.position()).unwrap();
     assert!(update.is_list());
     let changes = asker.apply(NOW, update, decode).unwrap();
-    assert_eq!(changes, [DirectoryChange::Lapsed("e1".into())]);
+    assert_eq!(changes, [DirectoryChange::Gone("e1".into())]);
     assert_eq!(asker.position(), hub.position());
     assert_eq!(hub.update_for(asker.position()), None);
 }
--- a/crates/kernel/tests/place_directory.rs
+++ b/crates/kernel/tests/place_directory.rs
@@ -1,6 +1,6 @@
 //! Tests that the endpoint directory survives outages of the store.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use pimentorock_kernel::{
     log_position::LogPosition,
@@ -34,9 +34,11 @@
 /// Returns a directory with one ready endpoint after an outage of the store that ended at `back`.
 fn directory_after_outage(back: TimePoint) -> EndpointDirectory {
     let mut directory = EndpointDirectory::new();
-    directory.note_contact(TimePoint::from_millis(100));
-    directory.take(TimePoint::from_millis(100), "e1", at(1), Some(record(false)));
-    directory.note_contact(back);
+    let first = TimePoint::from_millis(100);
+    directory.note_contact(first, TimePoint::ZERO);
+    directory.take(first, "e1", at(1), Some(record(false)));
+    directory.note_failed_read();
+    directory.note_contact(back, first);
     directory
 }
 
@@ -44,13 +46,50 @@
 fn an_entry_removed_without_an_outage_is_gone_at_once() {
     let mut directory = EndpointDirectory::new();
     for millis in (0..5_000).step_by(400) {
-        directory.note_contact(TimePoint::from_millis(millis));
+        let now = TimePoint::from_millis(millis);
+        directory.note_contact(now, now - Duration::from_millis(400));
     }
     directory.take(TimePoint::from_millis(4_900), "e1", at(1), Some(record(false)));
     let change = directory.take(TimePoint::from_millis(5_000), "e1", at(2), None);
     assert_eq!(change, Some(DirectoryChange::Gone("e1".into())));
 }
 
+/// Guards against an entry that did not read for a while, as it followed another one, and takes that for an
+/// outage of the store; and against one that takes a single failed read for one.
+#[test]
+fn an_entry_removed_after_a_time_without_reads_or_a_failed_read_is_gone_at_once() {
+    let now = TimePoint::from_millis(9_000);
+    let gone = DirectoryChange::Gone("e1".into());
+    for fails in [false, true] {
+        // Another entry has read meanwhile, unless no read failed.
+        let current_at = now - Duration::from_millis(if fails { 700 } else { 8_000 });
+        let mut directory = EndpointDirectory::new();
+        directory.note_contact(TimePoint::from_millis(100), TimePoint::ZERO);
+        directory.take(TimePoint::from_millis(100), "e1", at(1), Some(record(false)));
+        if fails {
+            directory.note_failed_read();
+        }
+        directory.note_contact(now, current_at);
+        assert_eq!(directory.clone().take(now, "e1", at(2), None), Some(gone.clone()));
+        let end = at(2);
+        assert_eq!(directory.keep_listed(now, &HashSet::new(), end).first(), Some(&gone));
+        assert!(directory.is_empty());
+    }
+}
+
+#[test]
+fn an_entry_that_another_entry_saw_lapse_in_an_outage_is_gone_after_the_grace_period() {
+    let back = TimePoint::from_millis(9_000);
+    let mut directory = EndpointDirectory::new();
+    directory.take(TimePoint::from_millis(100), "e1", at(1), Some(record(false)));
+    directory.note_outage_end(back);
+    assert_eq!(directory.outage_end(back), Some(back));
+    let now = back + Duration::from_millis(300);
+    assert_eq!(directory.take(now, "e1", at(2), None), Some(DirectoryChange::Lapsed("e1".into())));
+    assert_eq!(directory.expire(back + LAPSE_GRACE), [DirectoryChange::Gone("e1".into())]);
+    assert_eq!(directory.outage_end(back + LAPSE_GRACE), None);
+}
+
 #[test]
 fn an_entry_that_lapsed_in_an_outage_is_gone_after_the_grace_period() {
     let back = TimePoint::from_millis(9_000);
@@ -66,7 +105,8 @@
     let mut directory = directory_after_outage(back);
     let removed = back + LAPSE_GRACE - Duration::from_millis(600);
     for millis in (0..1_900).step_by(400) {
-        directory.note_contact(back + Duration::from_millis(millis));
+        let now = back + Duration::from_millis(millis);
+        directory.note_contact(now, now - Duration::from_millis(400));
     }
     let lapsed = DirectoryChange::Lapsed("e1".into());
     assert_eq!(directory.take(removed, "e1", at(2), None), Some(lapsed));
