Take back: follow entries that were told to stop only if all others stop too

Suspected, not shown: entries change their hub more often, and each change counts load twice for up to 2 s (LoadAggregator).

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -394,7 +394,7 @@
     fn note_peer(&self, now: TimePoint, share: &EntryShare) {
         let age_ms = self.state.wall_ms().saturating_sub(share.usage.until_ms);
         let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
-        let entry = KnownEntry { address: share.peer, domain: None, age_ms, leaving: None };
+        let entry = KnownEntry { address: share.peer, domain: None, age_ms };
         self.state.roster().note_entry(now, &entry);
     }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -92,8 +92,6 @@
     pub(crate) peer: SocketAddr,
     /// Failure domain of the sender.
     pub(crate) domain: Box<str>,
-    /// Whether the sender was told to stop.
-    pub(crate) leaving: bool,
     /// State of the sender's group, which is the sender and the entries that report to it, for the
     /// sender's hub; `None` if the receiver is not the
     /// sender's hub.
@@ -162,8 +160,6 @@
 /// The answer to an [`EntryReport`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EntryUpdate {
-    /// Whether the answering entry was told to stop.
-    pub(crate) leaving: bool,
     /// Age of the answering entry's configuration and endpoints, in milliseconds.
     pub(crate) store_age_ms: u64,
     /// The entry that read them from the store, if known.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -151,7 +151,6 @@
     tokio::spawn(lasting_task(&state, &stop_tasks, "follow_settings", follow));
     stop.cancelled().await;
     state.planned_stop.begin(clock::now(), grace);
-    state.roster().set_leaving();
     log::info!(target: part::PROCESS, grace_ms = grace.as_millis() as u64; "stopping");
     sleep(state.planned_stop.until_closed(clock::now())).await;
     stop_serving.cancel();
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -168,8 +168,7 @@
 
     fn note_reporter(&mut self, now: TimePoint, report: &EntryReport) {
         let (address, domain) = (report.peer, Some(report.domain.clone()));
-        let leaving = Some(report.leaving);
-        self.roster.note_entry(now, &KnownEntry { address, domain, age_ms: 0, leaving });
+        self.roster.note_entry(now, &KnownEntry { address, domain, age_ms: 0 });
         for entry in &report.entries {
             self.roster.note_entry(now, entry);
         }
@@ -285,7 +284,6 @@
             process: self.process.clone(),
             peer: self.settings.peers,
             domain: self.settings.domain.clone(),
-            leaving: self.planned_stop.has_begun(),
             group: None,
             shares,
             era: view.era,
@@ -381,7 +379,6 @@
             report.config_version.is_none_or(|reported| *version > reported)
         });
         EntryUpdate {
-            leaving: self.planned_stop.has_begun(),
             era: view.era,
             store_age_ms: age_ms(now, current_at),
             reader,
@@ -450,9 +447,6 @@
             for entry in &update.entries {
                 view.roster.note_entry(now, entry);
             }
-            let leaving = Some(update.leaving);
-            let answering = KnownEntry { address: from, domain: None, age_ms: 0, leaving };
-            view.roster.note_entry(now, &answering);
             view.knows_suspects |= update.knows_suspects;
             if is_current {
                 view.note_passed_on(now, from, current, update.reader);
--- a/crates/kernel/src/hub/known_entry.rs
+++ b/crates/kernel/src/hub/known_entry.rs
@@ -16,6 +16,4 @@
     pub domain: Option<Box<str>>,
     /// Milliseconds since the last contact with the entry.
     pub age_ms: u32,
-    /// Whether the entry was told to stop; `None` if that is not known.
-    pub leaving: Option<bool>,
 }
--- a/crates/kernel/src/hub/roster.rs
+++ b/crates/kernel/src/hub/roster.rs
@@ -52,8 +52,6 @@
     domain: Option<Box<str>>,
     /// Time of the last contact, direct or reported by another entry.
     last_heard: TimePoint,
-    /// Whether the entry was told to stop, and when that was known.
-    leaving: (bool, TimePoint),
     quarantined_until: TimePoint,
 }
 
@@ -74,15 +72,13 @@
     own: SocketAddr,
     /// Failure domain of the entry that owns this roster.
     domain: Box<str>,
-    /// Whether the entry that owns this roster was told to stop.
-    leaving: bool,
     rows: BTreeMap<SocketAddr, RosterRow>,
 }
 
 impl HubRoster {
     /// Returns an empty roster for the entry at the address `own` in the failure domain `domain`.
     pub fn new(own: SocketAddr, domain: &str) -> HubRoster {
-        HubRoster { own, domain: domain.into(), leaving: false, rows: BTreeMap::new() }
+        HubRoster { own, domain: domain.into(), rows: BTreeMap::new() }
     }
 
     /// Returns the address of the entry that owns this roster.
@@ -90,15 +86,10 @@
         self.own
     }
 
-    /// Notes that the entry that owns this roster was told to stop.
-    pub fn set_leaving(&mut self) {
-        self.leaving = true;
-    }
-
     /// Notes contact with the entry at `address`. The call does not change the known failure domain
     /// of that entry.
     pub fn note_heard(&mut self, now: TimePoint, address: SocketAddr) {
-        self.note_entry(now, &KnownEntry { address, domain: None, age_ms: 0, leaving: None });
+        self.note_entry(now, &KnownEntry { address, domain: None, age_ms: 0 });
     }
 
     /// Notes an entry that another entry reported or that introduced itself.
@@ -107,15 +98,9 @@
             return;
         }
         let last_heard = now - Duration::from_millis(entry.age_ms.into());
-        let leaving = (false, TimePoint::ZERO);
-        let quarantined_until = TimePoint::ZERO;
-        let fresh = RosterRow { domain: None, last_heard, leaving, quarantined_until };
+        let fresh = RosterRow { domain: None, last_heard, quarantined_until: TimePoint::ZERO };
         let row = self.rows.entry(entry.address).or_insert(fresh);
         row.last_heard = row.last_heard.max(last_heard);
-        // A later run of the entry at the address is not leaving.
-        if let Some(leaving) = entry.leaving.filter(|_| last_heard >= row.leaving.1) {
-            row.leaving = (leaving, last_heard);
-        }
         if let Some(domain) = &entry.domain {
             row.domain = Some(domain.clone());
         }
@@ -138,28 +123,19 @@
 
     /// Returns the hub of this entry.
     ///
-    /// Entries are ordered by address, those that were told to stop after all others, so that nobody waits
-    /// for one that ends. The hub is the first reachable entry of the own failure domain. If that is
-    /// this entry, the hub is the first reachable entry of any domain. The first entry of all reads the
-    /// store itself. A hub always comes before its askers, so two entries that know the same never ask
-    /// each other.
+    /// The hub is the reachable entry of the own failure domain with the lowest address. If that is
+    /// this entry, the hub is the reachable entry with the lowest address in any domain. An entry
+    /// with the lowest address of all reads the store itself. A hub's address is always lower than
+    /// those of its askers, so two entries never ask each other.
     pub fn hub(&self, now: TimePoint) -> HubChoice {
-        let local = self.before(now).filter(|(_, row)| self.is_in_own_domain(row));
-        let first = local.min_by_key(|(address, row)| (row.leaving.0, **address));
-        let first = first
-            .or_else(|| self.before(now).min_by_key(|(address, row)| (row.leaving.0, **address)));
-        match first {
+        let mut before = self.reachable(now).take_while(|(address, _)| **address < self.own);
+        let local = before.clone().find(|(_, row)| self.is_in_own_domain(row));
+        match local.or_else(|| before.next()) {
             Some((address, _)) => HubChoice::Peer(*address),
             None => HubChoice::Own,
         }
     }
 
-    /// Returns the reachable entries that come before this one.
-    fn before(&self, now: TimePoint) -> impl Iterator<Item = (&SocketAddr, &RosterRow)> {
-        let own = (self.leaving, self.own);
-        self.reachable(now).filter(move |(address, row)| (row.leaving.0, **address) < own)
-    }
-
     /// Returns the time between two exchanges with the hub.
     pub fn period(&self, now: TimePoint) -> Duration {
         let hub_is_local = match self.hub(now) {
@@ -182,10 +158,10 @@
         STORE_AGE_BASE + 2 * self.period(now)
     }
 
-    /// Reports whether exactly one reachable entry, the root hub, comes before this
+    /// Reports whether exactly one reachable entry, the root hub, has a lower address than this
     /// entry, so that this entry replaces the root hub if the root hub fails.
     pub fn is_standby(&self, now: TimePoint) -> bool {
-        let mut before = self.before(now);
+        let mut before = self.reachable(now).filter(|(address, _)| **address < self.own);
         before.next().is_some() && before.next().is_none()
     }
 
@@ -203,23 +179,21 @@
     /// each other failure domain.
     pub fn listed_to(&self, now: TimePoint, domain: &str) -> Vec<KnownEntry> {
         let mut counts: BTreeMap<Option<&str>, usize> = BTreeMap::new();
-        let own = (self.leaving, self.own, Some(&*self.domain), 0, true);
+        let own = (self.own, Some(&*self.domain), 0);
         let others = self.rows.iter().filter(|(_, row)| row.is_fresh(now)).map(|(address, row)| {
-            let age_ms = now.since(row.last_heard).as_millis() as u32;
-            let (leaving, known_at) = row.leaving;
-            let is_current = known_at >= row.last_heard;
-            (leaving, *address, row.domain.as_deref(), age_ms, is_current)
+            (*address, row.domain.as_deref(), now.since(row.last_heard).as_millis() as u32)
         });
-        let mut known: Vec<_> = others.chain([own]).collect();
+        let mut known: Vec<(SocketAddr, Option<&str>, u32)> = others.chain([own]).collect();
         known.sort_unstable();
-        known.retain(|(_, _, of, ..)| {
+        known.retain(|(_, of, _)| {
             let count = counts.entry(*of).or_default();
             *count += 1;
             *of == Some(domain) || *count <= MAX_LISTED_PER_FOREIGN_DOMAIN
         });
-        let entries = known.into_iter().map(|(leaving, address, domain, age_ms, is_current)| {
-            let (domain, leaving) = (domain.map(Into::into), is_current.then_some(leaving));
-            KnownEntry { address, domain, age_ms, leaving }
+        let entries = known.into_iter().map(|(address, domain, age_ms)| KnownEntry {
+            address,
+            domain: domain.map(Into::into),
+            age_ms,
         });
         entries.collect()
     }
