--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     clock,
+    logs::part,
     peer::{EntryShare, PeerClients},
     state::GatewayState,
     store::StoreTopic,
@@ -109,6 +110,7 @@
     let mut clients = PeerClients::default();
     let mut announced_at = TimePoint::ZERO;
     let mut entries_sent_at = None;
+    let mut followed = HubChoice::Own;
     let mut round = 0;
     while !stop.is_cancelled() {
         let now = clock::now();
@@ -116,6 +118,10 @@
             let view = state.view();
             (view.roster.hub(now), view.roster.period(now), view.is_stale(now))
         };
+        if hub != followed {
+            followed = hub;
+            log_hub(&state, hub);
+        }
         state.step_limits(hub, exchange_period);
         match hub {
             HubChoice::Peer(address) => {
@@ -157,6 +163,17 @@
     }
 }
 
+/// Logs and counts a change of the hub.
+fn log_hub(state: &GatewayState, hub: HubChoice) {
+    let address = match hub {
+        HubChoice::Peer(address) => address.to_string(),
+        HubChoice::Own => "none".to_owned(),
+    };
+    let age_ms = clock::now().since(state.view().follower.current_at()).as_millis() as u64;
+    log::info!(target: part::PEER, hub = address, store_age_ms = age_ms; "hub changed");
+    state.metrics.note_hub_change();
+}
+
 /// Reports the state of this entry, and of the entries that report to this entry, to the hub and
 /// applies the hub's answer. `wants_entries` is true if both sides send the entries that they know.
 ///
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,7 @@
     store_era: Gauge<u64>,
     endpoints: Gauge<u64>,
     panics: Counter<u64>,
+    hub_changes: Counter<u64>,
     unreadable_records: Counter<u64>,
 }
 
@@ -97,6 +98,7 @@
             config_version: meter.u64_gauge("config_version").build(),
             store_era: meter.u64_gauge("store_era").build(),
             endpoints: meter.u64_gauge("endpoints").build(),
+            hub_changes: meter.u64_counter("hub_changes").build(),
             panics: meter.u64_counter("panics").build(),
             unreadable_records: meter.u64_counter("unreadable_records").build(),
             _provider: provider,
@@ -254,6 +256,11 @@
         self.unreadable_records.add(1, &[KeyValue::new("topic", topic)]);
     }
 
+    /// Counts a change of the entry that this one follows.
+    pub(crate) fn note_hub_change(&self) {
+        self.hub_changes.add(1, &[]);
+    }
+
     /// Counts a panic of `part`: the name of a task, or of the topic of a record.
     pub(crate) fn note_panic(&self, part: &'static str) {
         self.panics.add(1, &[KeyValue::new("part", part)]);
