Pass few comments on to a caller that waits for an event, and never a flood

Evidence: comments_without_end_that_come_at_a_middling_pace_do_not_reach_the_caller failed before: 217,088 bytes reached the caller. Change: after 5 s a caller gets the comments that are held back only if they have 4 KB at most.

--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -30,6 +30,10 @@
 /// connection is kept.
 const MAX_SILENCE: Duration = Duration::from_secs(5);
 
+/// Maximum size in bytes of the comments that a caller gets then. An endpoint that keeps a connection sends a few
+/// of them; more are bytes without end.
+const MAX_KEPT_BYTES: usize = 4 << 10;
+
 /// Maximum time to wait for a slow caller when a stream is aborted.
 const ABORT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -252,9 +256,8 @@
             buffer.resize(splitter.held());
             let Some(mut events) = events else {
                 let is_silent = clock::now().since(forwarded_at) >= MAX_SILENCE;
-                if let Some(blank) =
-                    (is_silent && is_proven).then(|| splitter.take_blank()).flatten()
-                {
+                let is_kept = is_silent && is_proven && splitter.held() <= MAX_KEPT_BYTES;
+                if let Some(blank) = is_kept.then(|| splitter.take_blank()).flatten() {
                     forwarded_at = clock::now();
                     if let Some(end) = self.forward(blank, deadline.as_mut()).await {
                         return end;
