Apply what is read of endpoints and configurations in the order in which it was accepted

No caller has seen it: an entry has one thread, and nothing waits between the two steps.

Change: one lock covers the comparison and what follows from it, for endpoints, their expiry and the configuration.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -42,6 +42,7 @@
     pub(crate) fn apply_endpoints(&self, update: CopyUpdate<Bytes>, source: &'static str) -> bool {
         let (now, end, records, is_list) =
             (clock::now(), update.end(), update.len(), update.is_list());
+        let _applying = self.applying();
         let (before, applied) = {
             let mut endpoints = self.endpoints();
             let before = endpoints.position();
@@ -70,6 +71,13 @@
         self.apply_changes(changes);
         true
     }
+
+    /// Removes lapsed endpoints that did not register again in time.
+    pub(crate) fn expire_endpoints(&self) {
+        let _applying = self.applying();
+        let gone = self.endpoints().expire(clock::now());
+        self.apply_changes(gone);
+    }
 }
 
 impl GatewayState {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -90,8 +90,7 @@
 /// too long, until `stop` is cancelled.
 pub(crate) async fn expire_idle(state: Arc<GatewayState>, stop: CancellationToken) {
     while !stop.is_cancelled() {
-        let gone = state.endpoints().expire(clock::now());
-        state.apply_changes(gone);
+        state.expire_endpoints();
         state.pool.prune();
         state.step_origins();
         state.give_up_on_suspects();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -78,6 +78,9 @@
     pub(crate) planned_stop: PlannedStop,
     view: StateLock<SharedView>,
     endpoints: StateLock<EndpointCopy<Bytes>>,
+    /// Held while what the store or an entry says is compared with what is known and applied, so that it
+    /// takes effect in the order in which it was accepted. It is locked before all others.
+    applying: StateLock<()>,
     table: StateLock<PlacementTable>,
     budgets: StateLock<HashMap<Box<str>, RetryBudget>>,
     /// Retry ratio and retry slack of the whole deployment, as in [`GatewaySettings`].
@@ -147,6 +150,7 @@
             planned_stop: PlannedStop::default(),
             view: StateLock::new(SharedView::new(roster)),
             endpoints: StateLock::new(EndpointCopy::new()),
+            applying: StateLock::new(()),
             budgets: StateLock::new(HashMap::new()),
             retry_allowance: StateLock::new((settings.retry_ratio, settings.retry_slack)),
             last_share: StateLock::new(None),
@@ -166,6 +170,11 @@
         self.endpoints.lock()
     }
 
+    /// Locks the order in which changes take effect.
+    pub(crate) fn applying(&self) -> MutexGuard<'_, ()> {
+        self.applying.lock()
+    }
+
     /// Locks the counter of requests that began to run.
     pub(crate) fn usage_counter(&self) -> MutexGuard<'_, UsageCounter> {
         self.usage_counter.lock()
@@ -278,6 +287,7 @@
     ///
     /// `source` is the origin of the record for the log, `store` or `peer`.
     pub(crate) fn apply_config(&self, record: &StoreRecord, config: FleetConfig, source: &str) {
+        let _applying = self.applying();
         let newer = self.routes.load().as_ref().is_none_or(|now| config.version > now.version());
         if !newer {
             return;
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -286,3 +286,36 @@
         assert_eq!(state.view().era, 0, "{odd}");
     }
 }
+
+/// Guards against an endpoint that is used after its removal, as one task has read it and another one its removal, and
+/// the changes are applied in the wrong order.
+#[test]
+fn changes_of_endpoints_are_applied_in_the_order_of_their_positions() {
+    let state = state();
+    for round in 0..2_000 {
+        let update = |offset: u64, value: Option<Vec<u8>>| {
+            let record = KeyedRecord { offset, key: "i-0".into(), value };
+            CopyUpdate::from_log(LogPosition { era: 0, offset }, vec![record])
+        };
+        let (listed, removed) = (2 * round, 2 * round + 1);
+        if round == 0 {
+            let start = CopyUpdate::from_list(LogPosition { era: 0, offset: 0 }, Vec::new());
+            state.apply_endpoints(start, "store");
+        }
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                state.apply_endpoints(update(listed, Some(vec![1])).map_values(Into::into), "store")
+            });
+            scope.spawn(|| {
+                let has_read =
+                    || state.endpoints().position().is_some_and(|at| at.offset == removed);
+                while !has_read() {
+                    std::hint::spin_loop();
+                }
+                state.apply_endpoints(update(removed, None).map_values(Into::into), "peer");
+            });
+        });
+        assert!(state.directory().entry("i-0").is_none(), "round {round}");
+        assert_eq!(state.table().key("i-0"), None, "round {round}");
+    }
+}
