Evacuated failure domains and endpoints that warm up

Cause: no part of the hosted mode knew the orders, and an endpoint that had just started looked like the least loaded one to all entries at once. Every entry now knows the orders through the entry that reads the store, and leaves the endpoints of these domains out. Requests to an endpoint that warms up need a ticket of its standing limit, which the configuration and the settings state; endpoints that could not be reached, lapsed or were evacuated until now are presumed to warm up.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -432,7 +432,7 @@
                 return SendOutcome::Unreached(reason);
             }
         };
-        self.state.table().note_reached(choice.endpoint);
+        self.state.table().note_reached(clock::now(), choice.endpoint);
         let urgency = self.placement.urgency;
         if !self.state.table().may_send(clock::now(), choice, urgency) {
             self.state.pool.put(&work.instance, connection);
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -1,11 +1,14 @@
 //! Follows the endpoints that the store lists, through the store or other entries.
 
-use std::sync::MutexGuard;
+use std::{sync::MutexGuard, time::Duration};
 
 use bytes::Bytes;
 use pimentorock_kernel::{
     log_position::LogPosition,
-    place::{CopyUpdate, EndpointCopy, EndpointDirectory, EndpointRecord},
+    place::{
+        CopyUpdate, DirectoryChange, EndpointCopy, EndpointDirectory, EndpointRecord,
+        PlacedEndpoint,
+    },
 };
 
 use crate::{
@@ -81,6 +84,62 @@
 }
 
 impl GatewayState {
+    /// Applies changes of the endpoint directory to the placement table and the connection pool.
+    pub(crate) fn apply_changes(&self, changes: Vec<DirectoryChange>) {
+        if changes.is_empty() {
+            return;
+        }
+        // The shares by which streams begin may change.
+        self.origin_calls.want_write();
+        for change in changes {
+            match change {
+                DirectoryChange::Put(name, endpoint) => {
+                    log::info!(
+                        target: part::FOLLOW,
+                        endpoint = &*name, service = &*endpoint.service,
+                        version = &*endpoint.software, leaving = endpoint.leaving, warmup_ms = endpoint.warmup_ms;
+                        "endpoint listed"
+                    );
+                    let started_ms = endpoint.started_ms;
+                    let warmup = Duration::from_millis(endpoint.warmup_ms);
+                    self.pool.forget_other_runs(&name, started_ms);
+                    // Before a stream can begin there, so that it is shared.
+                    self.origins().note_listed(
+                        self.wall_ms(),
+                        &endpoint.service,
+                        &endpoint.software,
+                    );
+                    self.note_replaced_instances(|instance| {
+                        let same = instance.name == name && instance.started_ms == started_ms;
+                        !same && (instance.name == name || instance.address == endpoint.address)
+                    });
+                    let mut table = self.table();
+                    let key = table.put(PlacedEndpoint {
+                        name,
+                        service: endpoint.service,
+                        domain: endpoint.domain,
+                        software: endpoint.software,
+                        slots: endpoint.slots,
+                        leaving: endpoint.leaving,
+                        started_ms,
+                    });
+                    table.note_warmup(clock::now(), key, warmup);
+                }
+                DirectoryChange::Lapsed(name) => {
+                    log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint lapsed");
+                    self.table().mark_lapsed(&name);
+                }
+                DirectoryChange::Gone(name) => {
+                    log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint gone");
+                    self.table().remove(&name);
+                    self.pool.forget(&name);
+                    self.run_doubts.forget(&name);
+                }
+            }
+        }
+        self.metrics.note_endpoints(self.directory().len());
+    }
+
     /// Decodes the record of an endpoint; `None` if it names none.
     fn decode_endpoint(&self, record: &StoreRecord) -> Option<EndpointRecord> {
         let mut endpoint = None;
--- a/crates/gateway/src/fleet_config.rs
+++ b/crates/gateway/src/fleet_config.rs
@@ -74,12 +74,23 @@
 }
 
 /// A service, which is a set of endpoints that serve the same requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
     /// Name, unique in the configuration.
     pub name: Box<str>,
     /// Number of tokens that fit the memory of one endpoint; `None` if the service is not a model.
     pub memory_tokens: Option<u64>,
+    /// What the service's endpoints tolerate after a start; `None` if they need no warm-up.
+    pub warmup: Option<WarmupSpec>,
+}
+
+/// What the endpoints of a service tolerate after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupSpec {
+    /// Time for which an endpoint warms up.
+    pub span: Duration,
+    /// Requests a second that an endpoint tolerates while it warms up.
+    pub per_second: f64,
 }
 
 /// A client account.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -91,6 +91,7 @@
 pub(crate) async fn expire_idle(state: Arc<GatewayState>, stop: CancellationToken) {
     while !stop.is_cancelled() {
         state.expire_endpoints();
+        state.expire_evacuations();
         state.pool.prune();
         state.step_origins();
         state.give_up_on_suspects();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
   of streams in the store, and `origin_calls` wakes it; the kernel's `stream_origin` decides.
 * `follow` updates this state from the store or, through `peer`, from another entry that reads the
   store.
+* `evacuations` keeps failure domains free of requests as operators order.
 * `duty` sends this entry's request counts to the hub or the store, and reports usage if this entry
   holds the duty.
 * `logs`, [`log_queue`] and `metrics` write the log and the metrics for operators.
@@ -51,6 +52,7 @@
 mod endpoint_response;
 mod endpoints;
 mod error;
+mod evacuations;
 mod event_splitter;
 pub mod fleet_config;
 mod follow;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,7 @@
     config_version: Gauge<u64>,
     store_era: Gauge<u64>,
     endpoints: Gauge<u64>,
+    evacuated_domains: Gauge<u64>,
     panics: Counter<u64>,
     hub_changes: Counter<u64>,
     unreadable_records: Counter<u64>,
@@ -98,6 +99,7 @@
             config_version: meter.u64_gauge("config_version").build(),
             store_era: meter.u64_gauge("store_era").build(),
             endpoints: meter.u64_gauge("endpoints").build(),
+            evacuated_domains: meter.u64_gauge("evacuated_domains").build(),
             hub_changes: meter.u64_counter("hub_changes").build(),
             panics: meter.u64_counter("panics").build(),
             unreadable_records: meter.u64_counter("unreadable_records").build(),
@@ -246,6 +248,11 @@
         self.store_era.record(era, &[]);
     }
 
+    /// Sets the number of failure domains that operators ordered to be evacuated.
+    pub(crate) fn note_evacuated(&self, count: usize) {
+        self.evacuated_domains.record(count as u64, &[]);
+    }
+
     /// Sets the number of known endpoints.
     pub(crate) fn note_endpoints(&self, count: usize) {
         self.endpoints.record(count as u64, &[]);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -4,6 +4,7 @@
 
 use pimentorock_kernel::{
     hub::HubChoice,
+    place::EndpointEntry,
     reason::DecisionReason,
     stream_origin::{
         OriginAnswer, OriginEvidence, OriginQuestion, OriginRecord, ServedVersion, StreamKey,
@@ -137,8 +138,11 @@
         is_wanted: impl Fn(&str) -> bool,
     ) -> BTreeMap<Box<str>, Vec<VersionShare>> {
         let mut slots: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>> = BTreeMap::new();
+        let evacuated = self.evacuations().domains().clone();
         let directory = self.directory();
-        let open = directory.entries().filter(|entry| !entry.leaving);
+        let takes_work =
+            |entry: &&EndpointEntry| !entry.leaving && !evacuated.contains(&entry.domain);
+        let open = directory.entries().filter(takes_work);
         for entry in open.filter(|entry| is_wanted(&entry.service)) {
             let of_service = slots.entry(entry.service.clone()).or_default();
             let of_version = of_service.entry(entry.software.clone()).or_default();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -16,7 +16,7 @@
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
     log_position::{LogPosition, MAX_ERA},
-    place::CopyUpdate,
+    place::{CopyUpdate, EvacuationUpdate},
     send_limit::{LimitAnswer, LimitReport},
     stream_origin::{
         OriginAnswer, OriginDelta, OriginMarker, OriginQuestion, OriginRecord, SpanAck, VersionNews,
@@ -106,6 +106,8 @@
     pub(crate) config_version: Option<u64>,
     /// Position up to which the sender has the endpoints; `None` if it has none.
     pub(crate) endpoints_next: Option<LogPosition>,
+    /// Position up to which the sender knows the orders to evacuate failure domains.
+    pub(crate) evacuations_known: Option<LogPosition>,
     /// Wall-clock time of most entries of the sender's group, in milliseconds since the Unix epoch.
     pub(crate) wall_ms: u64,
     /// Whether the sender asks for a list of other entries; the sender then includes its own list in
@@ -171,6 +173,8 @@
     /// What the reporting entry lacks of the endpoints after the report's `endpoints_next`; `None` if
     /// it lacks nothing.
     pub(crate) endpoints: Option<CopyUpdate<Vec<u8>>>,
+    /// Orders to evacuate failure domains; `None` if the reporting entry knows them.
+    pub(crate) evacuations: Option<EvacuationUpdate>,
     /// Time since the end of the last outage of the store, in milliseconds; `None` if it is long ago.
     pub(crate) outage_age_ms: Option<u64>,
     /// Load that all entries outside the reporting entry's group have placed on endpoints.
@@ -208,6 +212,7 @@
         self.era <= MAX_ERA
             && self.wall_ms <= MAX_WALL_MS
             && self.endpoints.as_ref().is_none_or(CopyUpdate::is_readable)
+            && self.evacuations.as_ref().is_none_or(EvacuationUpdate::is_readable)
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use pimentorock_kernel::place::WarmupAllowance;
+
 /// Settings of one entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -27,6 +29,8 @@
     pub retry_ratio: f64,
     /// Number of additional retries of the whole deployment in one window.
     pub retry_slack: f64,
+    /// How far the requests to an endpoint that warms up may exceed the rate that it tolerates.
+    pub warmup_allowance: WarmupAllowance,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time after the end of a window within which its report is due.
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -279,6 +279,7 @@
             (records, own.version_news(known.versions), own.marker_ms(), lacks_origins)
         };
         let endpoints_next = self.endpoints().position();
+        let evacuations_known = self.evacuations().position();
         let view = self.view();
         let report = EntryReport {
             process: self.process.clone(),
@@ -290,6 +291,7 @@
             store_age_ms: age_ms(now, view.follower.current_at()),
             config_version: view.config_version(),
             endpoints_next,
+            evacuations_known,
             // Unlike `GatewayState::wall_ms`, which uses the skew that the hub determined, this time
             // is the median of the clocks of this entry and of the entries that report to it.
             wall_ms: self.own_wall_ms().saturating_add_signed(view.clocks.skew_ms(now)),
@@ -358,6 +360,7 @@
             (copy.update_for(report.endpoints_next), copy.directory().outage_end(now))
         };
         let endpoints = endpoints.map(|update| update.map_values(|value| value.to_vec()));
+        let evacuations = self.evacuations().update_for(report.evacuations_known);
         let mut view = self.view();
         view.note_reporter(now, &report);
         // Data of an earlier era are not newer, whenever they were read.
@@ -384,6 +387,7 @@
             reader,
             config: newer.map(|(_, record)| PeerRecord::from(record.clone())),
             endpoints,
+            evacuations,
             outage_age_ms: outage_end.map(|end| age_ms(now, end)),
             load: view.load_aggregator.outside(now, &report.process, &own),
             strict_counts,
@@ -427,6 +431,9 @@
             );
             return;
         }
+        if let Some(evacuations) = update.evacuations {
+            self.adopt_evacuations(evacuations);
+        }
         if let Some(record) = update.config {
             self.apply_record(StoreTopic::Config, &record.into(), "peer");
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,7 +16,7 @@
     duty::{UsageCounter, UsageShare},
     hub::{ClockFilter, HubRoster},
     ids::{EndpointKey, ProcessId},
-    place::{DirectoryChange, EndpointCopy, EndpointNotice, PlacedEndpoint, PlacementTable},
+    place::{EndpointCopy, EndpointNotice, EvacuationOrders, PlacementTable, WarmupLimit},
     reason::DecisionReason,
     retry::{self, RetryBudget, RetryCase, RetryDecision},
     send_limit::LimitTable,
@@ -29,7 +29,7 @@
     clock,
     connection_pool::ConnectionPool,
     crash_checks::{CrashChecks, EndpointInstance},
-    fleet_config::FleetConfig,
+    fleet_config::{FleetConfig, ServiceSpec, WarmupSpec},
     logs::part,
     message_buffers::MessageBuffers,
     metrics::GatewayMetrics,
@@ -78,6 +78,8 @@
     pub(crate) planned_stop: PlannedStop,
     view: StateLock<SharedView>,
     endpoints: StateLock<EndpointCopy<Bytes>>,
+    /// Orders to evacuate failure domains.
+    pub(crate) evacuations: StateLock<EvacuationOrders>,
     /// Held while what the store or an entry says is compared with what is known and applied, so that it
     /// takes effect in the order in which it was accepted. It is locked before all others.
     applying: StateLock<()>,
@@ -150,6 +152,7 @@
             planned_stop: PlannedStop::default(),
             view: StateLock::new(SharedView::new(roster)),
             endpoints: StateLock::new(EndpointCopy::new()),
+            evacuations: StateLock::new(EvacuationOrders::new()),
             applying: StateLock::new(()),
             budgets: StateLock::new(HashMap::new()),
             retry_allowance: StateLock::new((settings.retry_ratio, settings.retry_slack)),
@@ -304,6 +307,8 @@
         let memories =
             memories.filter_map(|service| Some((service.name.clone(), service.memory_tokens?)));
         self.table().set_memories(memories.collect());
+        let warmups = warmup_limits(&config, &self.settings);
+        self.table().set_warmups(warmups);
         let routes = RouteTable::new(config);
         self.table().partition_services(routes.partitioned_services());
         self.routes.store(Some(Arc::new(routes)));
@@ -347,59 +352,6 @@
         );
     }
 
-    /// Applies changes of the endpoint directory to the placement table and the connection pool.
-    pub(crate) fn apply_changes(&self, changes: Vec<DirectoryChange>) {
-        if changes.is_empty() {
-            return;
-        }
-        // The shares by which streams begin may change.
-        self.origin_calls.want_write();
-        for change in changes {
-            match change {
-                DirectoryChange::Put(name, endpoint) => {
-                    log::info!(
-                        target: part::FOLLOW,
-                        endpoint = &*name, service = &*endpoint.service,
-                        version = &*endpoint.software, leaving = endpoint.leaving;
-                        "endpoint listed"
-                    );
-                    let started_ms = endpoint.started_ms;
-                    self.pool.forget_other_runs(&name, started_ms);
-                    // Before a stream can begin there, so that it is shared.
-                    self.origins().note_listed(
-                        self.wall_ms(),
-                        &endpoint.service,
-                        &endpoint.software,
-                    );
-                    self.note_replaced_instances(|instance| {
-                        let same = instance.name == name && instance.started_ms == started_ms;
-                        !same && (instance.name == name || instance.address == endpoint.address)
-                    });
-                    self.table().put(PlacedEndpoint {
-                        name,
-                        service: endpoint.service,
-                        domain: endpoint.domain,
-                        software: endpoint.software,
-                        slots: endpoint.slots,
-                        leaving: endpoint.leaving,
-                        started_ms,
-                    });
-                }
-                DirectoryChange::Lapsed(name) => {
-                    log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint lapsed");
-                    self.table().mark_lapsed(&name);
-                }
-                DirectoryChange::Gone(name) => {
-                    log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint gone");
-                    self.table().remove(&name);
-                    self.pool.forget(&name);
-                    self.run_doubts.forget(&name);
-                }
-            }
-        }
-        self.metrics.note_endpoints(self.directory().len());
-    }
-
     /// Applies the settings that may change while the entry runs: the seeds and the retry
     /// allowance.
     pub(crate) fn apply_settings(&self, settings: &GatewaySettings) {
@@ -507,6 +459,19 @@
     }
 }
 
+/// Returns the limits for endpoints that warm up, by service.
+fn warmup_limits(
+    config: &FleetConfig,
+    settings: &GatewaySettings,
+) -> HashMap<Box<str>, WarmupLimit> {
+    let limit = |service: &ServiceSpec| {
+        let WarmupSpec { span, per_second } = service.warmup?;
+        let limit = WarmupLimit::new(span, per_second, settings.warmup_allowance)?;
+        Some((service.name.clone(), limit))
+    };
+    config.services.iter().filter_map(limit).collect()
+}
+
 /// Returns the number of entries that the settings name, including this one.
 fn named_entries(settings: &GatewaySettings) -> usize {
     let others: HashSet<SocketAddr> = settings.seeds.iter().copied().collect();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,7 +15,7 @@
 /// A topic of the store; each topic retains the newest record of each key indefinitely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum StoreTopic {
-    /// Configurations, written by operators.
+    /// Configurations and orders to evacuate failure domains, written by operators.
     Config,
     /// Endpoints; each endpoint writes its own record.
     Endpoints,
@@ -112,6 +112,9 @@
     /// Decodes a record of [`StoreTopic::Config`]; returns `None` for a record that is not a
     /// configuration.
     pub decode_config: fn(&StoreRecord) -> Result<Option<FleetConfig>, StoreError>,
+    /// Returns the failure domain that a record of [`StoreTopic::Config`] with this key orders to be
+    /// evacuated; `None` if the record is no such order. A removed record takes the order back.
+    pub evacuated_domain: fn(&str) -> Option<&str>,
     /// Decodes a record of [`StoreTopic::Endpoints`].
     pub decode_endpoint: fn(&StoreRecord) -> Result<EndpointRecord, StoreError>,
 }
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -138,6 +138,10 @@
             let is_applied = self.state.apply_endpoints(update, "store");
             return if is_applied { Ok(()) } else { Err(StoreError::Outdated) };
         }
+        if self.topic == StoreTopic::Config {
+            // Before the configuration, with which an entry that starts begins to serve.
+            self.state.apply_evacuations(&batch, from.is_none());
+        }
         for record in &batch.records {
             self.state.apply_record(self.topic, record, "store");
         }
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -6,7 +6,10 @@
 use pimentorock_kernel::{
     hub::KnownEntry,
     log_position::LogPosition,
-    place::{CopyUpdate, EndpointEntry, EndpointRecord, KeyedRecord, PlacedRequest},
+    place::{
+        CopyUpdate, EndpointEntry, EndpointRecord, EvacuationUpdate, KeyedRecord, PlacedRequest,
+        WarmupAllowance,
+    },
     send_limit::{GrantRow, LimitAnswer, LimitReport, LimitScope, TicketLot},
     stream_origin::{OriginQuestion, StreamKey, VersionNews},
     suspect::{CrashRecord, PartDelta, PartHistory, SuspectDelta, SuspectTable},
@@ -43,6 +46,7 @@
         grace: Duration::from_secs(8),
         retry_ratio: 0.2,
         retry_slack: 50.0,
+        warmup_allowance: WarmupAllowance { ratio: 1.5, slack: 5.0 },
         usage_window: Duration::from_secs(5),
         usage_due: Duration::from_secs(10),
         usage_lease: Duration::from_secs(3),
@@ -63,6 +67,7 @@
         append: Box::new(|_, _, _| Box::pin(async { Ok(LogPosition { era: 0, offset: 0 }) })),
         report: Box::new(|_, _| Box::pin(async { Ok(()) })),
         decode_config: |_| Ok(None),
+        evacuated_domain: |key| key.strip_prefix("evacuate/"),
         decode_endpoint,
     };
     GatewayState::new(settings, codec, store)
@@ -78,6 +83,7 @@
         slots: 8,
         leaving: false,
         started_ms: None,
+        warmup_ms: 0,
     };
     Ok(EndpointRecord { entry, heartbeat: 1 })
 }
@@ -148,6 +154,7 @@
             store_age_ms: self.u64(),
             config_version: self.optional(),
             endpoints_next: if self.draw() { Some(self.log_position()) } else { None },
+            evacuations_known: if self.draw() { Some(self.log_position()) } else { None },
             wall_ms: self.u64(),
             wants_entries: self.draw(),
             entries: self.list(FigureSource::entry),
@@ -178,6 +185,11 @@
         }
     }
 
+    fn evacuations(&mut self) -> EvacuationUpdate {
+        let (position, domains) = (self.log_position(), self.list(FigureSource::name));
+        EvacuationUpdate::new(position, domains.into_iter().collect())
+    }
+
     fn update(&mut self) -> EntryUpdate {
         let lot = |source: &mut FigureSource| TicketLot {
             rank: source.draw(),
@@ -203,6 +215,7 @@
             era: if self.draw() { era % 3 } else { era },
             config: None,
             endpoints: if self.draw() { Some(self.endpoints()) } else { None },
+            evacuations: if self.draw() { Some(self.evacuations()) } else { None },
             load: self.load(),
             outage_age_ms: if self.draw() { Some(self.u64()) } else { None },
             strict_counts: self.list(|source| (source.name(), source.u32())),
--- a/crates/kernel/src/place/diagnosis.rs
+++ b/crates/kernel/src/place/diagnosis.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::{
+    ids::EndpointKey,
     place::{PlacedRequest, endpoint::EndpointState},
     time::TimePoint,
 };
@@ -36,15 +37,15 @@
     pub(super) fn new<'a>(
         now: TimePoint,
         request: &PlacedRequest,
-        open: impl Iterator<Item = &'a EndpointState>,
+        open: impl Iterator<Item = (EndpointKey, &'a EndpointState)>,
         has_memory: impl Fn(&EndpointState) -> bool,
-        is_limited: impl Fn(&EndpointState) -> bool,
+        is_limited: impl Fn(EndpointKey) -> bool,
     ) -> PlacementDiagnosis {
         let mut diagnosis = PlacementDiagnosis::default();
         let mut least: Option<(f64, &EndpointState)> = None;
-        for state in open {
+        for (key, state) in open {
             diagnosis.open += 1;
-            diagnosis.limited += u32::from(is_limited(state));
+            diagnosis.limited += u32::from(is_limited(key));
             if now < state.excluded_until {
                 diagnosis.excluded += 1;
                 continue;
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -147,6 +147,10 @@
     is_probed: bool,
     /// Whether another endpoint answers at this endpoint's address.
     pub(super) replaced: bool,
+    /// Whether operators ordered that the endpoint's failure domain gets no requests.
+    pub(super) evacuated: bool,
+    /// Time at which the endpoint has warmed up.
+    pub(super) warm_at: TimePoint,
 }
 
 impl EndpointState {
@@ -171,6 +175,8 @@
             down_until: TimePoint::ZERO,
             is_probed: false,
             replaced: false,
+            evacuated: false,
+            warm_at: TimePoint::ZERO,
         }
     }
 
@@ -236,6 +242,16 @@
         self.parts.insert(part, now);
     }
 
+    /// Forgets which shared parts the endpoint has cached.
+    pub(super) fn forget_parts(&mut self) {
+        self.parts.clear();
+    }
+
+    /// Reports whether the last attempt to connect failed.
+    pub(super) fn is_reconnecting(&self) -> bool {
+        self.last_connect_failed
+    }
+
     /// Reports whether the endpoint is presumed unreachable or was replaced by another endpoint at
     /// its address.
     ///
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -35,6 +35,8 @@
     /// Wall-clock time at which the endpoint started, in milliseconds since 1970; `None` if the
     /// endpoint does not report it.
     pub started_ms: Option<u64>,
+    /// Time for which the endpoint stays slow after its start, in milliseconds; 0 if it is warm.
+    pub warmup_ms: u64,
 }
 
 /// A record of an endpoint in the store.
--- a/crates/kernel/src/place/limited_choice.rs
+++ b/crates/kernel/src/place/limited_choice.rs
@@ -35,15 +35,15 @@
     /// meanwhile, or the ticket may have expired.
     pub fn may_send(&mut self, now: TimePoint, choice: &PlaceChoice, urgency: Option<u8>) -> bool {
         let Some(state) = self.endpoints.get(choice.endpoint) else { return true };
-        let scope = state.limit_scope();
-        if now < state.excluded_until {
+        if now < state.excluded_until || state.evacuated {
             return false;
         }
-        if !self.limits.is_limited(scope, state.spec.started_ms) {
+        if choice.send_by.is_some_and(|send_by| now < send_by) {
             return true;
         }
-        choice.send_by.is_some_and(|send_by| now < send_by)
-            || self.limits.take(now, scope, urgency.unwrap_or(u8::MAX)).is_some()
+        let urgency = urgency.unwrap_or(u8::MAX);
+        let scopes = self.limits_of(now, choice.endpoint);
+        scopes.into_iter().all(|scope| self.limits.take(now, scope, urgency).is_some())
     }
 
     /// Returns the cheapest endpoint that has no limit, or whose limit leaves a send for the request,
@@ -63,21 +63,24 @@
                 .min_by(|(_, a), (_, b)| a.order.cmp(&b.order).then(a.cost.total_cmp(&b.cost)));
             let Some(index) = best.map(|(index, _)| index) else { return (None, limited) };
             let endpoint = accepting.swap_remove(index);
-            let state = &self.endpoints[endpoint.key];
-            let scope = state.limit_scope();
-            if !self.limits.is_limited(scope, state.spec.started_ms) {
-                return (Some((endpoint, None)), limited);
+            let asks = limited.len() < MAX_TICKET_WANTS;
+            let mut send_by = TimePoint::FAR;
+            let missing = self.limits_of(now, endpoint.key).into_iter().find(|scope| {
+                let urgency = request.urgency.unwrap_or(u8::MAX);
+                let taken = match asks {
+                    true => self.limits.take(now, *scope, urgency),
+                    false => self.limits.take_spare(now, *scope, urgency),
+                };
+                send_by = send_by.min(taken.unwrap_or(send_by));
+                taken.is_none()
+            });
+            match missing {
+                Some(scope) => limited.push(scope),
+                None => {
+                    let send_by = (send_by != TimePoint::FAR).then_some(send_by);
+                    return (Some((endpoint, send_by)), limited);
+                }
             }
-            let urgency = request.urgency.unwrap_or(u8::MAX);
-            let send_by = if limited.len() < MAX_TICKET_WANTS {
-                self.limits.take(now, scope, urgency)
-            } else {
-                self.limits.take_spare(now, scope, urgency)
-            };
-            if send_by.is_some() {
-                return (Some((endpoint, send_by)), limited);
-            }
-            limited.push(scope);
         }
     }
 }
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -6,7 +6,9 @@
 //! has four terms: the work ahead of the request, shared prompt parts that the endpoint does not
 //! have cached, the distance, and the delay that long prompts cause to streams of strict classes.
 //! [`EndpointDirectory`] tracks which endpoints exist, [`EndpointCopy`] passes them on to other entries,
-//! and [`ExclusionTable`] tracks which of them asked in an answer to get no requests.
+//! [`ExclusionTable`] tracks which of them asked in an answer to get no requests, and
+//! [`EvacuationOrders`] which failure domains operators keep free of requests. While an endpoint warms
+//! up after its start, a [`WarmupLimit`] holds for the requests of all entries together.
 //!
 //! A prompt consists of parts. All parts but the last may be shared with other requests, and an
 //! endpoint caches the shared parts that it has prefilled. The homes of a part are the two
@@ -19,6 +21,8 @@
 mod endpoint;
 mod endpoint_copy;
 mod endpoint_directory;
+mod evacuation;
+mod evacuation_orders;
 mod exclusion;
 mod known_spans;
 mod limited_choice;
@@ -27,6 +31,7 @@
 mod pools;
 mod request;
 mod table;
+mod warmup;
 mod work_ticket;
 
 pub use self::{
@@ -37,9 +42,11 @@
     endpoint_directory::{
         DirectoryChange, EndpointDirectory, EndpointEntry, EndpointRecord, LAPSE_GRACE,
     },
+    evacuation_orders::{EvacuationOrders, EvacuationUpdate},
     exclusion::{EndpointNotice, ExclusionTable, MAX_REST, UNREADABLE_REST},
     partition::strict_pauses,
     request::{PlacedRequest, PromptPart, urgency},
     table::{PlaceChoice, PlacementTable},
+    warmup::{WarmupAllowance, WarmupLimit},
     work_ticket::WorkTicket,
 };
--- a/crates/kernel/src/place/pools.rs
+++ b/crates/kernel/src/place/pools.rs
@@ -84,7 +84,8 @@
             return;
         }
         self.pools.clear();
-        for (key, state) in endpoints.iter().filter(|(_, state)| !state.spec.leaving) {
+        let takes_work = |state: &EndpointState| !state.spec.leaving && !state.evacuated;
+        for (key, state) in endpoints.iter().filter(|(_, state)| takes_work(state)) {
             match self.pools.get_mut(&state.spec.service) {
                 Some(pool) => pool.push(key),
                 None => {
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -1,6 +1,9 @@
 //! The endpoints that an entry may send to, and the choice among them.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use slotmap::SlotMap;
 
@@ -8,7 +11,7 @@
     ids::EndpointKey,
     place::{
         EndpointNotice, EndpointSample, ExclusionTable, LoadRow, PlacedEndpoint, PlacedRequest,
-        PlacementDiagnosis, WorkTicket, cost::cost, endpoint::EndpointState,
+        PlacementDiagnosis, WarmupLimit, WorkTicket, cost::cost, endpoint::EndpointState,
         limited_choice::RankedEndpoint, part_homes::PartHomes, pools::EndpointPools,
         request::total_tokens,
     },
@@ -72,13 +75,17 @@
     domain: Box<str>,
     pub(super) endpoints: SlotMap<EndpointKey, EndpointState>,
     names: HashMap<Box<str>, EndpointKey>,
-    pools: EndpointPools,
+    pub(super) pools: EndpointPools,
     /// Memory of one endpoint of each service, in tokens.
     memories: HashMap<Box<str>, u64>,
     /// Endpoints that asked to get no requests.
     exclusions: ExclusionTable,
     /// Limits that endpoints name.
     pub(super) limits: LimitTable,
+    /// Limits for endpoints that warm up, by service.
+    pub(super) warmups: HashMap<Box<str>, WarmupLimit>,
+    /// Failure domains whose endpoints get no requests.
+    pub(super) evacuated: BTreeSet<Box<str>>,
 }
 
 impl PlacementTable {
@@ -92,6 +99,8 @@
             memories: HashMap::new(),
             exclusions: ExclusionTable::new(),
             limits: LimitTable::new(0),
+            warmups: HashMap::new(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -120,6 +129,9 @@
             }
         };
         self.endpoints[key].excluded_until = excluded_until;
+        let evacuated = self.evacuated.contains(&self.endpoints[key].spec.domain);
+        self.endpoints[key].evacuated = evacuated;
+        self.put_warmup_limit(key);
         self.pools.mark_stale();
         key
     }
@@ -162,7 +174,9 @@
     /// Removes an endpoint.
     pub fn remove(&mut self, name: &str) {
         if let Some(key) = self.names.remove(name) {
-            self.endpoints.remove(key);
+            if let Some(state) = self.endpoints.remove(key) {
+                self.limits.remove_standing(state.warmup_scope());
+            }
             self.pools.mark_stale();
         }
     }
@@ -174,8 +188,9 @@
 
     /// Returns the number of endpoints that accept new work for `service`.
     pub fn open_count(&self, service: &str) -> usize {
-        let open = |state: &&EndpointState| *state.spec.service == *service && !state.spec.leaving;
-        self.endpoints.values().filter(open).count()
+        let is_open = |state: &&EndpointState| !state.spec.leaving && !state.evacuated;
+        let served = self.endpoints.values().filter(|state| *state.spec.service == *service);
+        served.filter(is_open).count()
     }
 
     /// Chooses an endpoint for `request`, leaving out those in `excluded`.
@@ -215,7 +230,9 @@
             open.retain(|(_, state)| !state.is_down(now));
         }
         if open.is_empty() {
-            return Err(DecisionReason::NoEndpoint);
+            let is_evacuated = self.is_evacuated(&request.service);
+            let reason = DecisionReason::DomainsEvacuated;
+            return Err(if is_evacuated { reason } else { DecisionReason::NoEndpoint });
         }
         let lightly_loaded = is_lightly_loaded(now, &open);
         let homes = self.homes(request, pool);
@@ -249,11 +266,9 @@
     /// [`choose`]: PlacementTable::choose
     pub fn diagnose(&self, now: TimePoint, request: &PlacedRequest) -> PlacementDiagnosis {
         let pool = self.pools.of(&request.service);
-        let open = pool.iter().map(|key| &self.endpoints[*key]);
+        let open = pool.iter().map(|key| (*key, &self.endpoints[*key]));
         let has_memory = |state: &EndpointState| self.has_memory(now, state, request);
-        let is_limited = |state: &EndpointState| {
-            self.limits.is_limited(state.limit_scope(), state.spec.started_ms)
-        };
+        let is_limited = |key: EndpointKey| !self.limits_of(now, key).is_empty();
         PlacementDiagnosis::new(now, request, open, has_memory, is_limited)
     }
 
@@ -425,9 +440,12 @@
     }
 
     /// Notes that an endpoint accepted a connection.
-    pub fn note_reached(&mut self, endpoint: EndpointKey) {
-        if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.note_reached();
+    pub fn note_reached(&mut self, now: TimePoint, endpoint: EndpointKey) {
+        let Some(state) = self.endpoints.get_mut(endpoint) else { return };
+        let is_back = state.is_reconnecting();
+        state.note_reached();
+        if is_back {
+            self.presume_started(now, endpoint);
         }
     }
 
--- a/crates/kernel/src/reason.rs
+++ b/crates/kernel/src/reason.rs
@@ -55,6 +55,9 @@
     },
     /// No endpoint in service offers the model.
     NoEndpoint,
+    /// All endpoints that could run the request are in failure domains that operators ordered to be
+    /// evacuated.
+    DomainsEvacuated,
     /// No endpoint of the software version that began the stream accepts requests.
     VersionGone,
     /// It is not known which software version began the stream, and several may have.
@@ -169,6 +172,9 @@
                 write!(f, "holds {blocks} blocks of the prompt's prefix")
             }
             DecisionReason::NoEndpoint => write!(f, "no endpoint in service offers the model"),
+            DecisionReason::DomainsEvacuated => {
+                write!(f, "all endpoints are in failure domains that are evacuated")
+            }
             DecisionReason::VersionGone => {
                 write!(f, "no endpoint of the version that began the stream accepts requests")
             }
--- a/crates/kernel/src/send_limit/limit_exchange.rs
+++ b/crates/kernel/src/send_limit/limit_exchange.rs
@@ -51,7 +51,10 @@
             let wants = state.pool.wants(now, &state.own_wants(now, horizon)).rows();
             let (used, returned) = state.pool.totals();
             let row = HoldingRow { scope: *scope, used, returned, wants };
-            if !row.wants.is_empty() || state.told.as_ref() != Some(&row) {
+            // Most endpoints are warm, so nothing is told of a standing limit that was never used.
+            let is_unused =
+                state.standing.is_some() && state.told.is_none() && (used, returned) == (0, 0);
+            if !row.wants.is_empty() || (!is_unused && state.told.as_ref() != Some(&row)) {
                 rows.push(row);
             }
         }
--- a/crates/kernel/src/send_limit/limit_table.rs
+++ b/crates/kernel/src/send_limit/limit_table.rs
@@ -11,6 +11,7 @@
     ids::ProcessId,
     send_limit::{
         EndpointAnswer, HoldingRow, LimitChange, LimitEvidence, LimitScope, LimitWord,
+        StandingRate,
         demand_meter::DemandMeter,
         fleet_share::FleetShare,
         group_count::GroupCount,
@@ -72,6 +73,8 @@
 #[derive(Debug)]
 pub(super) struct LimitState {
     pub(super) record: LimitRecord,
+    /// Set if the limit follows from the configuration.
+    pub(super) standing: Option<StandingRate>,
     pub(super) demand: DemandMeter,
     pub(super) pool: TicketPool,
     /// Tickets that the fleet wants, as the hub told.
@@ -84,6 +87,7 @@
     pub(super) fn new(record: LimitRecord) -> LimitState {
         LimitState {
             record,
+            standing: None,
             demand: DemandMeter::new(),
             pool: TicketPool::default(),
             wanted: 0,
@@ -91,6 +95,12 @@
         }
     }
 
+    /// Returns the rate at which tickets are minted, and the sends that may accumulate.
+    fn minting(&self) -> (f64, f64) {
+        let rate = self.record.rate;
+        (rate.usable(), self.standing.map_or(rate.burst(), |standing| standing.burst))
+    }
+
     /// Returns the tickets that this entry's own requests want beyond those that they have.
     pub(super) fn own_wants(&self, now: TimePoint, horizon: Duration) -> WantList {
         let held = self.pool.held(now);
@@ -233,8 +243,8 @@
         state.pool.enter_term(term, mints);
         match share {
             Some(share) => {
-                let rate = state.record.rate;
-                state.pool.mint(now, rate.usable() * share, rate.burst() * share);
+                let (rate, burst) = state.minting();
+                state.pool.mint(now, rate * share, burst * share);
             }
             None => {
                 state.pool.pause();
@@ -395,7 +405,8 @@
         if self.limits.len() < MAX_LIMITS {
             return;
         }
-        let oldest = self.limits.iter().min_by_key(|(_, state)| state.record.named_at);
+        let named = self.limits.iter().filter(|(_, state)| state.standing.is_none());
+        let oldest = named.min_by_key(|(_, state)| state.record.named_at);
         if let Some(scope) = oldest.map(|(scope, _)| *scope) {
             self.limits.remove(&scope);
         }
@@ -404,7 +415,7 @@
     fn forget(&mut self, now: TimePoint) {
         self.limits.retain(|_, state| {
             let memory = if state.record.ended { END_MEMORY } else { LIMIT_MEMORY };
-            state.record.age(now) < memory
+            state.standing.is_some() || state.record.age(now) < memory
         });
         let limits = &self.limits;
         let is_kept = |scope: u64| limits.contains_key(&LimitScope::from_hash(scope));
@@ -463,7 +474,8 @@
 
     /// Returns the number of limits that are in force.
     pub fn in_force(&self) -> usize {
-        self.limits.values().filter(|state| !state.record.ended).count()
+        let named = self.limits.values().filter(|state| state.standing.is_none());
+        named.filter(|state| !state.record.ended).count()
     }
 
     /// Returns the hub that this entry reports to, if it is not the root hub.
--- a/crates/kernel/src/send_limit/mod.rs
+++ b/crates/kernel/src/send_limit/mod.rs
@@ -42,6 +42,11 @@
 //! * Limits below 0.1 a second, such as 0, count as 0.1: without an answer now and then the fleet
 //!   could not learn that the limit has ended.
 //!
+//! # Standing limits
+//!
+//! A [`StandingRate`] follows from the configuration in place of an answer, so every entry knows it and
+//! it is neither passed on nor ended. Its tickets are the same, and the bound holds with its burst.
+//!
 //! # Other limits
 //!
 //! A limit has a [`LimitScope`], which says what it holds for, and comes from a [`LimitWord`], which
@@ -63,6 +68,7 @@
 mod limit_table;
 mod limit_word;
 mod send_rate;
+mod standing_rate;
 mod ticket_batch;
 mod ticket_pool;
 mod want_list;
@@ -76,4 +82,5 @@
     limit_table::LimitTable,
     limit_word::LimitWord,
     send_rate::SendRate,
+    standing_rate::StandingRate,
 };
--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -145,6 +145,7 @@
                 slots: source.u32(),
                 leaving: source.draw(),
                 started_ms: if source.draw() { Some(source.u64()) } else { None },
+                warmup_ms: source.u64(),
             };
             let record = EndpointRecord { entry, heartbeat: source.u64() };
             let record = if source.draw() { Some(record) } else { None };
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -299,7 +299,7 @@
         "the delay is ten times the 100 ms that the connection took to fail"
     );
     table.sent(last, down, &digest(1));
-    table.note_reached(down);
+    table.note_reached(last, down);
     assert!(chosen(&mut table, last));
 }
 
--- a/crates/kernel/tests/place_copy.rs
+++ b/crates/kernel/tests/place_copy.rs
@@ -30,6 +30,7 @@
         slots,
         leaving: false,
         started_ms: None,
+        warmup_ms: 0,
     };
     Some(EndpointRecord { entry, heartbeat })
 }
--- a/crates/kernel/tests/place_directory.rs
+++ b/crates/kernel/tests/place_directory.rs
@@ -20,6 +20,7 @@
         slots: 4,
         leaving,
         started_ms: None,
+        warmup_ms: 0,
     }
 }
 
