Usage duty: entries tell each other since when its newest record is known

Cause, from the logs: the root hub and its standby, which alone follow the duty, were cut off from the store. Another entry read the store in their place, but waited for the whole takeover span from its own first read, until after the report was due. After the outage of the store that followed, all entries waited so again.

Entries now exchange the position after the newest record with the time since which it is known. A successor counts the takeover span from then; the append is conditional as before.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -12,7 +12,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use pimentorock_kernel::{
-    duty::{DutyHolder, DutyLimits, DutyRecord, WindowAggregator},
+    duty::{DutyHolder, DutyLimits, DutyRecord, DutySighting, WindowAggregator},
     hub::{KnownEntry, ReadTurn},
     log_position::LogPosition,
     time::TimePoint,
@@ -301,6 +301,9 @@
             metrics.shield_record("duty", &record.key, apply);
         }
         self.duty.skip_to(now, LogPosition { era: newest.era, offset: newest.end });
+        let seen = DutySighting::new(self.duty.end(), self.duty.known_since());
+        let seen = self.state.view().note_duty_seen(seen);
+        self.duty.note_known_since(seen.end(), seen.at());
         if has_returned
             && self.duty.last_closed().is_some_and(|last| last.saturating_add(1) >= current)
         {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,7 +12,7 @@
 
 use futures::StreamExt;
 use pimentorock_kernel::{
-    duty::UsageShare,
+    duty::{SightingRow, UsageShare},
     hub::{GroupLoad, KnownEntry},
     ids::ProcessId,
     log_position::{LogPosition, MAX_ERA},
@@ -106,6 +106,8 @@
     pub(crate) config_version: Option<u64>,
     /// Position up to which the sender has the endpoints; `None` if it has none.
     pub(crate) endpoints_next: Option<LogPosition>,
+    /// Newest record of the usage duty that the sender has heard of.
+    pub(crate) duty_seen: Option<SightingRow>,
     /// Position up to which the sender knows the orders to evacuate failure domains.
     pub(crate) evacuations_known: Option<LogPosition>,
     /// Wall-clock time of most entries of the sender's group, in milliseconds since the Unix epoch.
@@ -173,6 +175,8 @@
     /// What the reporting entry lacks of the endpoints after the report's `endpoints_next`; `None` if
     /// it lacks nothing.
     pub(crate) endpoints: Option<CopyUpdate<Vec<u8>>>,
+    /// Newest record of the usage duty that the answering entry has heard of.
+    pub(crate) duty_seen: Option<SightingRow>,
     /// Orders to evacuate failure domains; `None` if the reporting entry knows them.
     pub(crate) evacuations: Option<EvacuationUpdate>,
     /// Time since the end of the last outage of the store, in milliseconds; `None` if it is long ago.
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -3,6 +3,7 @@
 use std::{cmp::Ordering, collections::HashMap, net::SocketAddr, time::Duration};
 
 use pimentorock_kernel::{
+    duty::{DutySighting, SightingRow},
     hub::{
         GroupLoad, HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
         StoreFollower,
@@ -48,6 +49,8 @@
     next_positions: HashMap<StoreTopic, LogPosition>,
     /// Whether the suspects were read from the store or from another entry that knows them.
     pub(crate) knows_suspects: bool,
+    /// Newest record of the usage duty that this entry has heard of.
+    duty_seen: Option<DutySighting>,
     /// Time at which this entry got its first configuration.
     pub(crate) configured_at: Option<TimePoint>,
     /// How current the configuration and the endpoints are, and which entry read them.
@@ -73,6 +76,7 @@
             config: None,
             next_positions: HashMap::new(),
             knows_suspects: false,
+            duty_seen: None,
             configured_at: None,
             config_current_at: TimePoint::ZERO,
             endpoints_current_at: TimePoint::ZERO,
@@ -166,6 +170,19 @@
         }
     }
 
+    /// Takes over when the newest record of the usage duty was read, and returns what is known then.
+    pub(crate) fn note_duty_seen(&mut self, seen: DutySighting) -> DutySighting {
+        let merged = self.duty_seen.map_or(seen, |known| known.merged(seen));
+        self.duty_seen = Some(merged);
+        merged
+    }
+
+    fn note_duty_row(&mut self, now: TimePoint, row: Option<SightingRow>) {
+        if let Some(row) = row.filter(SightingRow::is_readable) {
+            self.note_duty_seen(DutySighting::from_row(now, row));
+        }
+    }
+
     fn note_reporter(&mut self, now: TimePoint, report: &EntryReport) {
         let (address, domain) = (report.peer, Some(report.domain.clone()));
         self.roster.note_entry(now, &KnownEntry { address, domain, age_ms: 0 });
@@ -291,6 +308,7 @@
             store_age_ms: age_ms(now, view.follower.current_at()),
             config_version: view.config_version(),
             endpoints_next,
+            duty_seen: view.duty_seen.map(|seen| seen.row(now)),
             evacuations_known,
             // Unlike `GatewayState::wall_ms`, which uses the skew that the hub determined, this time
             // is the median of the clocks of this entry and of the entries that report to it.
@@ -363,6 +381,7 @@
         let evacuations = self.evacuations().update_for(report.evacuations_known);
         let mut view = self.view();
         view.note_reporter(now, &report);
+        view.note_duty_row(now, report.duty_seen);
         // Data of an earlier era are not newer, whenever they were read.
         if report.era == view.era {
             let current_at = now - Duration::from_millis(report.store_age_ms);
@@ -387,6 +406,7 @@
             reader,
             config: newer.map(|(_, record)| PeerRecord::from(record.clone())),
             endpoints,
+            duty_seen: view.duty_seen.map(|seen| seen.row(now)),
             evacuations,
             outage_age_ms: outage_end.map(|end| age_ms(now, end)),
             load: view.load_aggregator.outside(now, &report.process, &own),
@@ -455,6 +475,7 @@
                 view.roster.note_entry(now, entry);
             }
             view.knows_suspects |= update.knows_suspects;
+            view.note_duty_row(now, update.duty_seen);
             if is_current {
                 view.note_passed_on(now, from, current, update.reader);
             }
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -4,6 +4,7 @@
 
 use http::HeaderMap;
 use pimentorock_kernel::{
+    duty::SightingRow,
     hub::KnownEntry,
     log_position::LogPosition,
     place::{
@@ -154,6 +155,7 @@
             store_age_ms: self.u64(),
             config_version: self.optional(),
             endpoints_next: if self.draw() { Some(self.log_position()) } else { None },
+            duty_seen: if self.draw() { Some(self.sighting()) } else { None },
             evacuations_known: if self.draw() { Some(self.log_position()) } else { None },
             wall_ms: self.u64(),
             wants_entries: self.draw(),
@@ -185,6 +187,10 @@
         }
     }
 
+    fn sighting(&mut self) -> SightingRow {
+        SightingRow::new(self.log_position(), self.u64())
+    }
+
     fn evacuations(&mut self) -> EvacuationUpdate {
         let (position, domains) = (self.log_position(), self.list(FigureSource::name));
         EvacuationUpdate::new(position, domains.into_iter().collect())
@@ -215,6 +221,7 @@
             era: if self.draw() { era % 3 } else { era },
             config: None,
             endpoints: if self.draw() { Some(self.endpoints()) } else { None },
+            duty_seen: if self.draw() { Some(self.sighting()) } else { None },
             evacuations: if self.draw() { Some(self.evacuations()) } else { None },
             load: self.load(),
             outage_age_ms: if self.draw() { Some(self.u64()) } else { None },
--- a/crates/kernel/src/duty/holder.rs
+++ b/crates/kernel/src/duty/holder.rs
@@ -212,6 +212,21 @@
         }
     }
 
+    /// Returns the time since which this process knows that nothing was appended after
+    /// [`end`](DutyHolder::end).
+    pub fn known_since(&self) -> TimePoint {
+        self.last_read
+    }
+
+    /// Notes that another process had read all records before `end` at the time `at` already.
+    ///
+    /// The last record was appended before that, so a successor need not wait from its own first read.
+    pub fn note_known_since(&mut self, end: LogPosition, at: TimePoint) {
+        if end == self.end && end.offset > 0 {
+            self.last_read = self.last_read.min(at);
+        }
+    }
+
     /// Reports whether this process may append a record that closes windows.
     ///
     /// The holder may do so until it releases the duty. Any other process may do so if the log is
--- a/crates/kernel/src/duty/mod.rs
+++ b/crates/kernel/src/duty/mod.rs
@@ -6,6 +6,9 @@
 //! ([`DutyHolder`]). The position of a holder's first record gives its fencing number. Processes send
 //! their counts to the holder in [`UsageShare`]s, which a [`WindowAggregator`] adds up.
 //!
+//! A successor waits until the holder may no longer report. Entries tell each other since when the
+//! newest record is known ([`DutySighting`]), so that any of them may be the successor in time.
+//!
 //! The log may come back from an older copy and give out offsets again. Positions and records
 //! therefore state the era of the log, and a process that cannot know whether records were lost
 //! after the last one that it has read leaves out the windows that they may have closed.
@@ -14,6 +17,7 @@
 mod limits;
 mod record;
 mod share;
+mod sighting;
 mod window_aggregator;
 
 pub use self::{
@@ -21,5 +25,6 @@
     limits::DutyLimits,
     record::{ClosedWindow, DutyRecord},
     share::{UsageCounter, UsageShare},
+    sighting::{DutySighting, SightingRow},
     window_aggregator::WindowAggregator,
 };
--- a/crates/kernel/tests/duty.rs
+++ b/crates/kernel/tests/duty.rs
@@ -4,7 +4,7 @@
 
 use pimentorock_kernel::{
     duty::{
-        ClosedWindow, DutyHolder, DutyLimits, DutyRecord, UsageCounter, UsageShare,
+        ClosedWindow, DutyHolder, DutyLimits, DutyRecord, DutySighting, UsageCounter, UsageShare,
         WindowAggregator,
     },
     ids::ProcessId,
@@ -158,6 +158,8 @@
     // Appends whose answer was lost and that may still be executed.
     let mut late: Vec<(LogPosition, DutyRecord)> = Vec::new();
     let mut reports = Vec::new();
+    // When the processes that tell each other first read the newest record.
+    let mut seen: Option<DutySighting> = None;
     for _ in 0..400 {
         now = now + Duration::from_millis(below(1_200));
         let index = below(3) as usize;
@@ -180,6 +182,9 @@
             }
             2..=4 => {
                 log.read_by(now, &mut holders[index]);
+                if below(2) == 0 {
+                    seen = Some(tell(now, seen, &mut holders[index]));
+                }
                 append(&mut log, &mut late, &mut holders[index], now, &mut below);
             }
             _ => {
@@ -194,6 +199,16 @@
     reports
 }
 
+/// Lets `holder`, which has just read the log, tell the others what it knows and hear what they know, in
+/// a message.
+fn tell(now: TimePoint, seen: Option<DutySighting>, holder: &mut DutyHolder) -> DutySighting {
+    let own = DutySighting::new(holder.end(), holder.known_since());
+    let heard = seen.map(|seen| DutySighting::from_row(now, seen.row(now)));
+    let merged = heard.map_or(own, |heard| heard.merged(own));
+    holder.note_known_since(merged.end(), merged.at());
+    merged
+}
+
 /// Lets `holder` close its next window, with a random outcome of the append.
 fn append(
     log: &mut NaiveLog,
@@ -260,6 +275,32 @@
     assert!(limits().takeover_span > limits().report_span + 2 * REPORT_TIME);
 }
 
+/// Guards against reports that are late because the only entry that reaches the store has not followed
+/// the duty so far.
+#[test]
+fn a_process_that_hears_when_the_newest_record_was_read_takes_over_as_early_as_its_reader() {
+    let start = TimePoint::from_millis(1_000);
+    let first = DutyHolder::new(start, process("a"), limits()).record(vec![closed(7, 3)]);
+    let read_by = |name: &str, now: TimePoint| {
+        let mut reader = DutyHolder::new(start, process(name), limits());
+        reader.read(now, at(0), first.clone());
+        reader
+    };
+    let follower = read_by("b", start);
+    let later = start + Duration::from_secs(6);
+    let mut joined = read_by("c", later);
+    let seen = DutySighting::new(follower.end(), follower.known_since());
+    let heard = DutySighting::from_row(later, seen.row(later));
+    joined.note_known_since(heard.end(), heard.at());
+    assert!(!joined.may_close(start + limits().takeover_span - Duration::from_millis(1)));
+    assert!(joined.may_close(start + limits().takeover_span));
+    // A word on an older record says nothing of the newest one.
+    let mut newest = DutyHolder::new(start, process("d"), limits());
+    newest.read(later, at(1), first.clone());
+    newest.note_known_since(heard.end(), heard.at());
+    assert!(!newest.may_close(start + limits().takeover_span));
+}
+
 #[test]
 fn a_released_duty_is_taken_over_sooner_but_not_within_a_lease() {
     let start = TimePoint::from_millis(1_000);
