Substitutes try a store that the hub does not reach one after the other

Cause: entries without current data try the store at random places of a period of 250 ms times their number; now and then none of them tries for over a second. Each entry now takes its own place of the period, by a hash of its address among those that it knows.

--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -60,7 +60,8 @@
     async fn step(&mut self) -> Duration {
         let role = self.state.view().role(clock::now());
         let entries = self.state.live_entries();
-        if !self.turn.is_due(clock::now(), role, entries, clock::random_fraction()) {
+        let place = self.state.roster().place(clock::now(), clock::random_fraction());
+        if !self.turn.is_due(clock::now(), role, entries, place) {
             return self.pace.check_period;
         }
         match self.advance().await {
--- a/crates/kernel/src/hub/read_turn.rs
+++ b/crates/kernel/src/hub/read_turn.rs
@@ -41,9 +41,9 @@
         ReadTurn { next: None, is_first: false }
     }
 
-    /// Reports whether an entry with this role in a fleet of `entries` reads now; `random` is a
-    /// random number from 0 to 1.
-    pub fn is_due(&mut self, now: TimePoint, role: ReadRole, entries: usize, random: f64) -> bool {
+    /// Reports whether an entry with this role in a fleet of `entries` reads now; `place` is the entry's
+    /// place in the order of the first attempts, from 0 to 1.
+    pub fn is_due(&mut self, now: TimePoint, role: ReadRole, entries: usize, place: f64) -> bool {
         if std::mem::take(&mut self.is_first) {
             return true;
         }
@@ -58,7 +58,7 @@
             }
             ReadRole::Substitute => {
                 // The first turns are spread from the beginning, so that one of them comes soon.
-                let first = || now + turn_period(entries).mul_f64(random);
+                let first = || now + turn_period(entries).mul_f64(place);
                 now >= *self.next.get_or_insert_with(first)
             }
         }
--- a/crates/kernel/src/hub/roster.rs
+++ b/crates/kernel/src/hub/roster.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use crate::{hub::KnownEntry, time::TimePoint};
+use crate::{hub::KnownEntry, route::hash_text, time::TimePoint};
 
 /// Time for which an entry that did not answer is not chosen as a hub.
 const FAILURE_QUARANTINE: Duration = Duration::from_secs(3);
@@ -165,6 +165,20 @@
         before.next().is_some() && before.next().is_none()
     }
 
+    /// Returns this entry's place among the reachable entries and itself as a fraction from 0 to 1, at
+    /// the part `within` of its place; the same order at all entries that know the same ones.
+    ///
+    /// Entries that act at these places of a period act one after the other, so that one of them
+    /// acts soon in every period. With random places, a store that the hub does not reach was read
+    /// up to some seconds later than usual.
+    pub fn place(&self, now: TimePoint, within: f64) -> f64 {
+        let mixed = |address: &SocketAddr| hash_text(&address.to_string());
+        let own = mixed(&self.own);
+        let others: Vec<u64> = self.reachable(now).map(|(address, _)| mixed(address)).collect();
+        let before = others.iter().filter(|other| **other < own).count();
+        (before as f64 + within) / (others.len() as f64 + 1.0)
+    }
+
     /// Returns an entry to exchange data with in addition to the hub, rotating with `turn`.
     ///
     /// Returns `None` if no entry is reachable.
--- a/crates/kernel/tests/hub.rs
+++ b/crates/kernel/tests/hub.rs
@@ -332,3 +332,23 @@
         assert_eq!(shown.wrapping_sub(truth) as i64, expected, "at {seconds} s");
     }
 }
+
+/// Guards against a store that the hub does not reach and that nobody else reads for seconds, because
+/// the entries that try it do so at random.
+#[test]
+fn entries_try_a_store_one_after_the_other() {
+    let mut places: Vec<f64> = Vec::new();
+    for own in 0..20 {
+        let mut roster = HubRoster::new(address(own), "a");
+        (0..20).filter(|other| *other != own).for_each(|other| {
+            roster.note_heard(NOW, address(other));
+        });
+        places.push(roster.place(NOW, 0.5));
+    }
+    places.sort_by(f64::total_cmp);
+    for (index, place) in places.iter().enumerate() {
+        let expected = (index as f64 + 0.5) / 20.0;
+        assert!((place - expected).abs() < 1e-9, "{places:?}");
+    }
+    assert_eq!(HubRoster::new(address(0), "a").place(NOW, 0.25), 0.25);
+}
