Requests to an endpoint that has just started or recovered grow with its answers

It holds for services whose endpoints state how long work takes at the moment, or tolerate a stated rate after a start.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -65,6 +65,7 @@
                 prompt_tokens: head.prompt_tokens,
                 output_tokens,
                 needed_rate: f64::from(output_tokens) / timeout.as_secs_f64().max(0.1),
+                latency_target: route.latency_target,
                 strict: route.strict,
                 urgency: urgency(route.tier, None),
                 parts: head.parts,
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -91,6 +91,8 @@
         }
         // The shares by which streams begin may change.
         self.origin_calls.want_write();
+        // The endpoints of the first list have not just started.
+        let is_known = !self.table().is_empty();
         for change in changes {
             match change {
                 DirectoryChange::Put(name, endpoint) => {
@@ -113,7 +115,9 @@
                         let same = instance.name == name && instance.started_ms == started_ms;
                         !same && (instance.name == name || instance.address == endpoint.address)
                     });
+                    let now = clock::now();
                     let mut table = self.table();
+                    let is_new_run = table.run_start(&name) != Some(started_ms);
                     let key = table.put(PlacedEndpoint {
                         name,
                         service: endpoint.service,
@@ -123,7 +127,10 @@
                         leaving: endpoint.leaving,
                         started_ms,
                     });
-                    table.note_warmup(clock::now(), key, warmup);
+                    table.note_warmup(now, key, warmup);
+                    if is_new_run && is_known {
+                        table.note_started(now, key);
+                    }
                 }
                 DirectoryChange::Lapsed(name) => {
                     log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint lapsed");
--- a/crates/gateway/src/work_guard.rs
+++ b/crates/gateway/src/work_guard.rs
@@ -4,7 +4,7 @@
 
 use pimentorock_kernel::{place::WorkTicket, time::TimePoint};
 
-use crate::{crash_checks::EndpointInstance, state::GatewayState};
+use crate::{clock, crash_checks::EndpointInstance, state::GatewayState};
 
 /// A request in progress at an endpoint; dropping the guard counts the request as ended.
 #[derive(Debug)]
@@ -23,7 +23,7 @@
 impl WorkGuard {
     /// Tells the placement table that the first token of the response arrived.
     pub(crate) fn started(&mut self) {
-        self.state.table().started(&mut self.ticket);
+        self.state.table().first_token(clock::now(), &mut self.ticket);
     }
 }
 
--- a/crates/kernel/benches/place.rs
+++ b/crates/kernel/benches/place.rs
@@ -34,6 +34,7 @@
         prompt_tokens: 11_000,
         output_tokens: 300,
         needed_rate: 25.0,
+        latency_target: None,
         strict: false,
         urgency: None,
         parts: vec![
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{route::hash_text, send_limit::LimitScope, stream_origin::VersionKey, time::TimePoint};
+use crate::{
+    place::start_ramp::StartRamp, route::hash_text, send_limit::LimitScope,
+    stream_origin::VersionKey, time::TimePoint,
+};
 
 /// Time after its last use for which a shared part counts as cached at an endpoint.
 const PART_LIFE: Duration = Duration::from_secs(30);
@@ -55,12 +58,15 @@
 }
 
 /// Load that an endpoint reported about itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointSample {
     /// Requests running at the endpoint, from all senders.
     pub running: u32,
     /// Requests waiting in the endpoint's own queue.
     pub waiting: u32,
+    /// How long work takes at the endpoint at this moment, as a factor, 1 as usual; `None` if the
+    /// endpoint does not state it.
+    pub slowdown: Option<f32>,
 }
 
 /// Load that one or more entries have placed on an endpoint.
@@ -151,6 +157,8 @@
     pub(super) evacuated: bool,
     /// Time at which the endpoint has warmed up.
     pub(super) warm_at: TimePoint,
+    /// Bound on requests after a start; `None` if the endpoint gets requests like any other.
+    pub(super) ramp: Option<StartRamp>,
 }
 
 impl EndpointState {
@@ -177,6 +185,7 @@
             replaced: false,
             evacuated: false,
             warm_at: TimePoint::ZERO,
+            ramp: None,
         }
     }
 
--- a/crates/kernel/src/place/evacuation.rs
+++ b/crates/kernel/src/place/evacuation.rs
@@ -23,7 +23,10 @@
                 returned.push(key);
             }
         }
-        returned.into_iter().for_each(|key| self.presume_started(now, key));
+        for key in returned {
+            self.presume_started(now, key);
+            self.begin_ramp(now, key);
+        }
         self.pools.mark_stale();
         count
     }
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -8,7 +8,8 @@
 //! [`EndpointDirectory`] tracks which endpoints exist, [`EndpointCopy`] passes them on to other entries,
 //! [`ExclusionTable`] tracks which of them asked in an answer to get no requests, and
 //! [`EvacuationOrders`] which failure domains operators keep free of requests. While an endpoint warms
-//! up after its start, a [`WarmupLimit`] holds for the requests of all entries together.
+//! up after its start, a [`WarmupLimit`] holds for the requests of all entries together. How many
+//! requests an endpoint gets after a start follows from how it answers (`start_ramp`).
 //!
 //! A prompt consists of parts. All parts but the last may be shared with other requests, and an
 //! endpoint caches the shared parts that it has prefilled. The homes of a part are the two
@@ -30,6 +31,7 @@
 mod partition;
 mod pools;
 mod request;
+mod start_ramp;
 mod table;
 mod warmup;
 mod work_ticket;
--- a/crates/kernel/src/place/request.rs
+++ b/crates/kernel/src/place/request.rs
@@ -1,5 +1,7 @@
 //! The properties of a request that placement needs.
 
+use std::time::Duration;
+
 use crate::stream_origin::VersionKey;
 
 /// Tokens per second of each stream at an endpoint whose slots are all in use and that prefills
@@ -31,6 +33,8 @@
     /// Tokens per second that the answer needs to be complete in time; 0 for a service that is not
     /// a model engine.
     pub needed_rate: f64,
+    /// Time within which the first token is on time; `None` if the class has no such target.
+    pub latency_target: Option<Duration>,
     /// Whether the request's class allows only short pauses; see
     /// [`strict_pauses`](super::strict_pauses).
     pub strict: bool,
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -1,7 +1,7 @@
 //! The endpoints that an entry may send to, and the choice among them.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, HashSet},
     time::Duration,
 };
 
@@ -84,6 +84,8 @@
     pub(super) limits: LimitTable,
     /// Limits for endpoints that warm up, by service.
     pub(super) warmups: HashMap<Box<str>, WarmupLimit>,
+    /// Services whose endpoints get requests by a ramp after a start.
+    pub(super) ramped: HashSet<Box<str>>,
     /// Failure domains whose endpoints get no requests.
     pub(super) evacuated: BTreeSet<Box<str>>,
 }
@@ -100,6 +102,7 @@
             exclusions: ExclusionTable::new(),
             limits: LimitTable::new(0),
             warmups: HashMap::new(),
+            ramped: HashSet::new(),
             evacuated: BTreeSet::new(),
         }
     }
@@ -186,6 +189,18 @@
         self.names.get(name).copied()
     }
 
+    /// Reports whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Returns the start of the known run of an endpoint, as the endpoint states it; `None` if the
+    /// endpoint is not known.
+    pub fn run_start(&self, name: &str) -> Option<Option<u64>> {
+        let state = self.endpoints.get(*self.names.get(name)?)?;
+        Some(state.spec.started_ms)
+    }
+
     /// Returns the number of endpoints that accept new work for `service`.
     pub fn open_count(&self, service: &str) -> usize {
         let is_open = |state: &&EndpointState| !state.spec.leaving && !state.evacuated;
@@ -314,7 +329,9 @@
         } else {
             UNCACHED_RESERVE * uncached / prompt
         };
-        state.load(now) < limit * (1.0 - reduction.min(1.0)) && self.has_memory(now, state, request)
+        state.load(now) < limit * (1.0 - reduction.min(1.0))
+            && state.ramp_accepts(now)
+            && self.has_memory(now, state, request)
     }
 
     /// Reports whether the endpoint's memory has room for `request`.
@@ -322,7 +339,12 @@
     /// An endpoint that runs out of memory preempts a running request and prefills it again later.
     /// An endpoint without requests accepts a request of any size, because a request that is larger
     /// than the usable memory would otherwise never be accepted.
-    fn has_memory(&self, now: TimePoint, state: &EndpointState, request: &PlacedRequest) -> bool {
+    pub(super) fn has_memory(
+        &self,
+        now: TimePoint,
+        state: &EndpointState,
+        request: &PlacedRequest,
+    ) -> bool {
         let Some(all) = self.memories.get(&state.spec.service) else { return true };
         let usable = (*all as f64 * USABLE_MEMORY_SHARE) as u64;
         let taken = state.memory(now);
@@ -343,7 +365,14 @@
         request: &PlacedRequest,
     ) -> WorkTicket {
         let memory = request.memory_tokens();
-        let mut ticket = WorkTicket { endpoint, prefill: 0.0, memory, started: false };
+        let mut ticket = WorkTicket {
+            endpoint,
+            prefill: 0.0,
+            memory,
+            sent_at: now,
+            latency_target: request.latency_target,
+            started: false,
+        };
         let Some(state) = self.endpoints.get_mut(endpoint) else { return ticket };
         let held = request.shared_parts().iter().take_while(|part| state.holds(now, part.id));
         let held = total_tokens(held);
@@ -404,6 +433,9 @@
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.note_sample(now, sample);
         }
+        if sample.slowdown.is_some() {
+            self.note_stated_pace(endpoint);
+        }
     }
 
     /// Returns the load that this entry has placed on its endpoints, for other entries.
@@ -446,6 +478,7 @@
         state.note_reached();
         if is_back {
             self.presume_started(now, endpoint);
+            self.begin_ramp(now, endpoint);
         }
     }
 
@@ -474,6 +507,7 @@
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.note_failure(now);
         }
+        self.begin_ramp(now, endpoint);
     }
 
     /// Returns the homes of a request's last shared part, which are the endpoints that should have
--- a/crates/kernel/src/place/work_ticket.rs
+++ b/crates/kernel/src/place/work_ticket.rs
@@ -1,6 +1,8 @@
 //! The load that one request puts on its endpoint until the request ends.
 
-use crate::ids::EndpointKey;
+use std::time::Duration;
+
+use crate::{ids::EndpointKey, time::TimePoint};
 
 /// Identifies one request that was sent to an endpoint.
 ///
@@ -14,6 +16,9 @@
     pub(super) prefill: f64,
     /// Tokens that the request occupies in the endpoint's memory.
     pub(super) memory: u64,
+    pub(super) sent_at: TimePoint,
+    /// Time within which the first token is on time, if the class has such a target.
+    pub(super) latency_target: Option<Duration>,
     /// Whether the first token has arrived or the request has ended.
     pub(super) started: bool,
 }
--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -48,6 +48,11 @@
     }
 }
 
+fn sample(source: &mut FigureSource) -> EndpointSample {
+    let slowdown = if source.draw() { Some(f32::from_bits(source.u32())) } else { None };
+    EndpointSample { running: source.u32(), waiting: source.u32(), slowdown }
+}
+
 /// Guards against a process that ends as the figures of several endpoints add up.
 #[test]
 fn endpoints_and_their_loads_may_state_any_figures() {
@@ -66,7 +71,7 @@
                 leaving: false,
                 started_ms: Some(source.u64()),
             });
-            let sample = EndpointSample { running: source.u32(), waiting: source.u32() };
+            let sample = sample(source);
             table.note_sample(now, key, sample);
             table.note_unreached(now, key, source.span());
         }
@@ -79,6 +84,7 @@
                 needed_rate: f64::from(source.u32()),
                 strict: source.draw(),
                 urgency: Some(source.draw()),
+                latency_target: Some(source.span()),
                 parts,
                 ..PlacedRequest::default()
             };
@@ -87,10 +93,10 @@
             if let Ok(choice) = table.choose(now, &request, &[]) {
                 let mut ticket = table.sent(now, choice.endpoint, &request);
                 if source.draw() {
-                    table.started(&mut ticket);
+                    table.first_token(now, &mut ticket);
                     table.ended(&mut ticket);
                 }
-                let sample = EndpointSample { running: source.u32(), waiting: source.u32() };
+                let sample = sample(source);
                 table.note_sample(now, choice.endpoint, sample);
             }
             let notice = EndpointNotice::Rest(source.span());
@@ -120,7 +126,11 @@
         leaving: false,
         started_ms: None,
     });
-    table.note_sample(NOW, key, EndpointSample { running: u32::MAX, waiting: u32::MAX });
+    table.note_sample(
+        NOW,
+        key,
+        EndpointSample { running: u32::MAX, waiting: u32::MAX, slowdown: None },
+    );
     let request =
         PlacedRequest { service: "app".into(), needed_rate: 1.0, ..PlacedRequest::default() };
     assert!(table.choose(NOW, &request, &[]).is_err());
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -47,6 +47,7 @@
         prompt_tokens: 11_000,
         output_tokens: 380,
         needed_rate: 25.0,
+        latency_target: None,
         strict: false,
         urgency: None,
         parts: vec![
@@ -65,6 +66,7 @@
         prompt_tokens: 800,
         output_tokens: 300,
         needed_rate: 25.0,
+        latency_target: None,
         strict: true,
         urgency: None,
         parts: vec![
