Ramp: a single lost answer begins none; the place of a substitute is worked out by substitutes only

An endpoint with many requests that lost one of them was left out until its load had fallen below the first window, though nothing says that it started again.

--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use pimentorock_kernel::{hub::ReadTurn, log_position::LogPosition, time::TimePoint};
+use pimentorock_kernel::{
+    hub::{ReadRole, ReadTurn},
+    log_position::LogPosition,
+    time::TimePoint,
+};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -60,7 +64,10 @@
     async fn step(&mut self) -> Duration {
         let role = self.state.view().role(clock::now());
         let entries = self.state.live_entries();
-        let place = self.state.roster().place(clock::now(), clock::random_fraction());
+        let place = match role {
+            ReadRole::Substitute => self.place(),
+            _ => 0.0,
+        };
         if !self.turn.is_due(clock::now(), role, entries, place) {
             return self.pace.check_period;
         }
@@ -74,6 +81,11 @@
         }
     }
 
+    /// Returns this entry's place among those that try the store while the hub does not reach it.
+    fn place(&self) -> f64 {
+        self.state.roster().place(clock::now(), clock::random_fraction())
+    }
+
     fn is_empty(&self) -> bool {
         self.next_position().is_none_or(|next| next.offset == 0)
     }
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -302,6 +302,11 @@
         self.quarantined_until = now + quarantine.min(MAX_QUARANTINE);
     }
 
+    /// Returns the number of lost requests since the last answer.
+    pub(super) fn failures(&self) -> u32 {
+        self.failures
+    }
+
     pub(super) fn note_success(&mut self) {
         self.failures = 0;
     }
--- a/crates/kernel/src/place/start_ramp.rs
+++ b/crates/kernel/src/place/start_ramp.rs
@@ -24,6 +24,9 @@
 /// Time after which an endpoint gets requests like any other, if its answers do not tell sooner.
 const LONGEST_RAMP: Duration = Duration::from_secs(10);
 
+/// Lost requests without an answer between them after which an endpoint counts as one that has failed.
+const RAMP_FAILURES: u32 = 2;
+
 /// Bounds the requests at one endpoint after its start.
 ///
 /// The window grows by one with each answer in time, so it doubles in the time that an answer takes,
@@ -87,6 +90,15 @@
         }
     }
 
+    /// Begins the ramp of an endpoint that lost a request again, if it has one already or has not
+    /// answered since it lost another one. A single lost answer is no sign of a new start.
+    pub(super) fn ramp_after_failure(&mut self, now: TimePoint, endpoint: EndpointKey) {
+        let Some(state) = self.endpoints.get(endpoint) else { return };
+        if state.ramp.is_some() || state.failures() >= RAMP_FAILURES {
+            self.begin_ramp(now, endpoint);
+        }
+    }
+
     /// Notes that an endpoint stated how long work takes at the moment. From now on the endpoints of
     /// its service get requests by a ramp after a start.
     pub(super) fn note_stated_pace(&mut self, endpoint: EndpointKey) {
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -507,7 +507,7 @@
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.note_failure(now);
         }
-        self.begin_ramp(now, endpoint);
+        self.ramp_after_failure(now, endpoint);
     }
 
     /// Returns the homes of a request's last shared part, which are the endpoints that should have
--- a/crates/kernel/tests/place_ramp.rs
+++ b/crates/kernel/tests/place_ramp.rs
@@ -99,7 +99,8 @@
     });
 }
 
-/// Guards against a rush to an endpoint that lost requests, or could not be reached, and is back.
+/// Guards against a rush to an endpoint that lost all its requests, or could not be reached, and is
+/// back; and against one that is left idle because it lost a single answer.
 #[test]
 fn an_endpoint_that_recovers_begins_a_ramp() {
     for is_down in [false, true] {
@@ -110,6 +111,8 @@
             table.note_reached(START, key);
         } else {
             table.note_failure(START, key);
+            assert_eq!(table.ramp_window(key), None, "one answer was lost");
+            table.note_failure(START, key);
         }
         let running = play(&mut table, 40, 1, 100);
         assert!(running[0] <= 4, "{} requests at once", running[0]);
@@ -121,7 +124,7 @@
 fn endpoints_that_state_no_pace_have_no_ramp() {
     let (mut table, key) = table(false);
     table.note_started(START, key);
-    table.note_failure(START, key);
+    (0..3).for_each(|_| table.note_failure(START, key));
     assert_eq!(table.ramp_window(key), None);
     assert_eq!(play(&mut table, 40, 1, 100), [40]);
 }
