--- a/crates/daemon/tests/failures/stack.rs
+++ b/crates/daemon/tests/failures/stack.rs
@@ -76,6 +76,19 @@
             "{} did not receive signal {name}",
             self.name
         );
+        if name == "STOP" {
+            self.await_stop();
+        }
+    }
+
+    /// Waits until no thread of the process runs. A signal is sent before it takes effect, and on a busy
+    /// machine the other threads run on for some milliseconds.
+    fn await_stop(&self) {
+        let deadline = Instant::now() + EVENT_TIMEOUT;
+        while !has_stopped(self.child.id()) {
+            assert!(Instant::now() < deadline, "{} did not stop", self.name);
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     /// Kills the process with SIGKILL and waits for its end.
@@ -491,3 +504,14 @@
     assert!(path.exists(), "build the workspace first: {} does not exist", path.display());
     path
 }
+
+/// Reports whether all threads of a process are stopped, by the state after the name in parentheses.
+fn has_stopped(process: u32) -> bool {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{process}/task")) else { return false };
+    let is_stopped = |stat: String| {
+        stat.rsplit_once(')').is_some_and(|(_, rest)| rest.trim_start().starts_with(['T', 't']))
+    };
+    threads
+        .flatten()
+        .all(|thread| std::fs::read_to_string(thread.path().join("stat")).is_ok_and(is_stopped))
+}
--- a/crates/gateway/src/fleet_config.rs
+++ b/crates/gateway/src/fleet_config.rs
@@ -1,6 +1,8 @@
 //! Configuration of the deployment, as decoded by an adapter.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
+
+use pimentorock_kernel::place::{WarmupAllowance, WarmupLimit};
 
 /// A complete configuration.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,6 +19,20 @@
     pub limits: CallerLimits,
 }
 
+impl FleetConfig {
+    /// Returns the limits for endpoints that warm up, by service.
+    pub(crate) fn warmup_limits(
+        &self,
+        allowance: WarmupAllowance,
+    ) -> HashMap<Box<str>, WarmupLimit> {
+        let limit = |service: &ServiceSpec| {
+            let WarmupSpec { span, per_second } = service.warmup?;
+            Some((service.name.clone(), WarmupLimit::new(span, per_second, allowance)?))
+        };
+        self.services.iter().filter_map(limit).collect()
+    }
+}
+
 /// Kind of a request, which decides whether the request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod dispatch_failure;
 mod dispatcher;
 mod duty;
+mod duty_sightings;
 mod endpoint_response;
 mod endpoints;
 mod error;
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Ordering, collections::HashMap, net::SocketAddr, time::Duration};
 
 use pimentorock_kernel::{
-    duty::{DutySighting, SightingRow},
+    duty::DutySighting,
     hub::{
         GroupLoad, HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
         StoreFollower,
@@ -50,7 +50,7 @@
     /// Whether the suspects were read from the store or from another entry that knows them.
     pub(crate) knows_suspects: bool,
     /// Newest record of the usage duty that this entry has heard of.
-    duty_seen: Option<DutySighting>,
+    pub(crate) duty_seen: Option<DutySighting>,
     /// Time at which this entry got its first configuration.
     pub(crate) configured_at: Option<TimePoint>,
     /// How current the configuration and the endpoints are, and which entry read them.
@@ -170,19 +170,6 @@
         }
     }
 
-    /// Takes over when the newest record of the usage duty was read, and returns what is known then.
-    pub(crate) fn note_duty_seen(&mut self, seen: DutySighting) -> DutySighting {
-        let merged = self.duty_seen.map_or(seen, |known| known.merged(seen));
-        self.duty_seen = Some(merged);
-        merged
-    }
-
-    fn note_duty_row(&mut self, now: TimePoint, row: Option<SightingRow>) {
-        if let Some(row) = row.filter(SightingRow::is_readable) {
-            self.note_duty_seen(DutySighting::from_row(now, row));
-        }
-    }
-
     fn note_reporter(&mut self, now: TimePoint, report: &EntryReport) {
         let (address, domain) = (report.peer, Some(report.domain.clone()));
         self.roster.note_entry(now, &KnownEntry { address, domain, age_ms: 0 });
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,7 +16,7 @@
     duty::{UsageCounter, UsageShare},
     hub::{ClockFilter, HubRoster},
     ids::{EndpointKey, ProcessId},
-    place::{EndpointCopy, EndpointNotice, EvacuationOrders, PlacementTable, WarmupLimit},
+    place::{EndpointCopy, EndpointNotice, EvacuationOrders, PlacementTable},
     reason::DecisionReason,
     retry::{self, RetryBudget, RetryCase, RetryDecision},
     send_limit::LimitTable,
@@ -29,7 +29,7 @@
     clock,
     connection_pool::ConnectionPool,
     crash_checks::{CrashChecks, EndpointInstance},
-    fleet_config::{FleetConfig, ServiceSpec, WarmupSpec},
+    fleet_config::FleetConfig,
     logs::part,
     message_buffers::MessageBuffers,
     metrics::GatewayMetrics,
@@ -307,8 +307,7 @@
         let memories =
             memories.filter_map(|service| Some((service.name.clone(), service.memory_tokens?)));
         self.table().set_memories(memories.collect());
-        let warmups = warmup_limits(&config, &self.settings);
-        self.table().set_warmups(warmups);
+        self.table().set_warmups(config.warmup_limits(self.settings.warmup_allowance));
         let routes = RouteTable::new(config);
         self.table().partition_services(routes.partitioned_services());
         self.routes.store(Some(Arc::new(routes)));
@@ -459,19 +458,6 @@
     }
 }
 
-/// Returns the limits for endpoints that warm up, by service.
-fn warmup_limits(
-    config: &FleetConfig,
-    settings: &GatewaySettings,
-) -> HashMap<Box<str>, WarmupLimit> {
-    let limit = |service: &ServiceSpec| {
-        let WarmupSpec { span, per_second } = service.warmup?;
-        let limit = WarmupLimit::new(span, per_second, settings.warmup_allowance)?;
-        Some((service.name.clone(), limit))
-    };
-    config.services.iter().filter_map(limit).collect()
-}
-
 /// Returns the number of entries that the settings name, including this one.
 fn named_entries(settings: &GatewaySettings) -> usize {
     let others: HashSet<SocketAddr> = settings.seeds.iter().copied().collect();
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -22,6 +22,7 @@
 mod endpoint;
 mod endpoint_copy;
 mod endpoint_directory;
+mod endpoint_load;
 mod evacuation;
 mod evacuation_orders;
 mod exclusion;
