The ramp holds for services that state a warm-up only, and counts the fleet's answers

Cause: an entry let the window of the whole fleet grow by its own answers, about one in three seconds for each endpoint, so the endpoints stood idle for up to ten seconds and their prompts were prefilled elsewhere. An answer now stands for those of all entries, a ramp ends after 3 s, and endpoints that only state how long work takes have none.

--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -58,15 +58,12 @@
 }
 
 /// Load that an endpoint reported about itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndpointSample {
     /// Requests running at the endpoint, from all senders.
     pub running: u32,
     /// Requests waiting in the endpoint's own queue.
     pub waiting: u32,
-    /// How long work takes at the endpoint at this moment, as a factor, 1 as usual; `None` if the
-    /// endpoint does not state it.
-    pub slowdown: Option<f32>,
 }
 
 /// Load that one or more entries have placed on an endpoint.
--- a/crates/kernel/src/place/endpoint_load.rs
+++ b/crates/kernel/src/place/endpoint_load.rs
@@ -69,9 +69,6 @@
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.note_sample(now, sample);
         }
-        if sample.slowdown.is_some() {
-            self.note_stated_pace(endpoint);
-        }
     }
 
     /// Returns the load that this entry has placed on its endpoints, for other entries.
--- a/crates/kernel/src/place/start_ramp.rs
+++ b/crates/kernel/src/place/start_ramp.rs
@@ -22,15 +22,16 @@
 const FULL_SHARE: f64 = 0.5;
 
 /// Time after which an endpoint gets requests like any other, if its answers do not tell sooner.
-const LONGEST_RAMP: Duration = Duration::from_secs(10);
+const LONGEST_RAMP: Duration = Duration::from_secs(3);
 
 /// Lost requests without an answer between them after which an endpoint counts as one that has failed.
 const RAMP_FAILURES: u32 = 2;
 
 /// Bounds the requests at one endpoint after its start.
 ///
-/// The window grows by one with each answer in time, so it doubles in the time that an answer takes,
-/// and shrinks with each late one. A lost request begins it again.
+/// The window grows by one with each answer in time that some entry gets, so it doubles in the time that
+/// an answer takes, and shrinks with each late one. An entry sees its own answers only, and takes the
+/// others' for as many as their requests are. A lost request begins the ramp again.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StartRamp {
     window: f64,
@@ -49,9 +50,10 @@
     }
 
     /// Notes the first token of an answer, and reports whether the ramp goes on.
-    fn note_answer(&mut self, now: TimePoint, in_time: bool, slots: u32) -> bool {
+    /// `answers` is the number of answers of all entries that this one stands for.
+    fn note_answer(&mut self, now: TimePoint, in_time: bool, answers: f64, slots: u32) -> bool {
         self.window = match in_time {
-            true => self.window + 1.0,
+            true => self.window + answers.max(1.0),
             false => (LATE_FACTOR * self.window).max(LEAST_WINDOW),
         };
         self.window < FULL_SHARE * f64::from(slots) && now.since(self.began) < LONGEST_RAMP
@@ -74,9 +76,11 @@
             let waited = now.since(ticket.sent_at);
             let in_time = ticket.latency_target.is_none_or(|target| waited <= target);
             let slots = state.spec.slots;
+            let answers = state.load(now) / f64::from(state.in_flight.max(1));
             let ramp = state.ramp.take();
-            state.ramp =
-                ramp.and_then(|mut ramp| ramp.note_answer(now, in_time, slots).then_some(ramp));
+            state.ramp = ramp.and_then(|mut ramp| {
+                ramp.note_answer(now, in_time, answers, slots).then_some(ramp)
+            });
         }
         self.started(ticket);
     }
@@ -84,8 +88,7 @@
     /// Begins the ramp of an endpoint that has started or recovered, if its service has ramps.
     pub(super) fn begin_ramp(&mut self, now: TimePoint, endpoint: EndpointKey) {
         let Some(state) = self.endpoints.get_mut(endpoint) else { return };
-        let service = &state.spec.service;
-        if self.ramped.contains(service) || self.warmups.contains_key(service) {
+        if self.warmups.contains_key(&state.spec.service) {
             state.ramp = Some(StartRamp::new(now));
         }
     }
@@ -99,15 +102,6 @@
         }
     }
 
-    /// Notes that an endpoint stated how long work takes at the moment. From now on the endpoints of
-    /// its service get requests by a ramp after a start.
-    pub(super) fn note_stated_pace(&mut self, endpoint: EndpointKey) {
-        let Some(state) = self.endpoints.get(endpoint) else { return };
-        if !self.ramped.contains(&state.spec.service) {
-            self.ramped.insert(state.spec.service.clone());
-        }
-    }
-
     /// Notes that an endpoint was listed at `now` for the first time, or as another run.
     pub fn note_started(&mut self, now: TimePoint, endpoint: EndpointKey) {
         self.begin_ramp(now, endpoint);
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -1,7 +1,7 @@
 //! The endpoints that an entry may send to, and the choice among them.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -83,8 +83,6 @@
     pub(super) limits: LimitTable,
     /// Limits for endpoints that warm up, by service.
     pub(super) warmups: HashMap<Box<str>, WarmupLimit>,
-    /// Services whose endpoints get requests by a ramp after a start.
-    pub(super) ramped: HashSet<Box<str>>,
     /// Failure domains whose endpoints get no requests.
     pub(super) evacuated: BTreeSet<Box<str>>,
 }
@@ -101,7 +99,6 @@
             exclusions: ExclusionTable::new(),
             limits: LimitTable::new(0),
             warmups: HashMap::new(),
-            ramped: HashSet::new(),
             evacuated: BTreeSet::new(),
         }
     }
