--- a/crates/kernel/tests/duty.rs
+++ b/crates/kernel/tests/duty.rs
@@ -301,6 +301,19 @@
     assert!(!newest.may_close(start + limits().takeover_span));
 }
 
+/// Guards against a takeover within a lease, because a record counts as known for as long as the one
+/// before it.
+#[test]
+fn a_record_is_not_known_for_as_long_as_the_one_before_it() {
+    let (early, late) = (TimePoint::from_millis(1_000), TimePoint::from_millis(9_000));
+    let (older, newer) = (DutySighting::new(at(4), early), DutySighting::new(at(5), late));
+    assert_eq!(newer.merged(older), newer);
+    assert_eq!(older.merged(newer), newer);
+    let sooner = DutySighting::new(at(5), late - Duration::from_secs(1));
+    assert_eq!(newer.merged(sooner), sooner);
+    assert_eq!(sooner.merged(newer), sooner);
+}
+
 #[test]
 fn a_released_duty_is_taken_over_sooner_but_not_within_a_lease() {
     let start = TimePoint::from_millis(1_000);
