--- a/crates/kernel/src/hub/roster.rs
+++ b/crates/kernel/src/hub/roster.rs
@@ -169,8 +169,7 @@
     /// the part `within` of its place; the same order at all entries that know the same ones.
     ///
     /// Entries that act at these places of a period act one after the other, so that one of them
-    /// acts soon in every period. With random places, a store that the hub does not reach was read
-    /// up to some seconds later than usual.
+    /// acts soon in every period. At random places all of them may act late.
     pub fn place(&self, now: TimePoint, within: f64) -> f64 {
         let mixed = |address: &SocketAddr| hash_text(&address.to_string());
         let own = mixed(&self.own);
