Fetch large configurations apart, chunk by chunk, and end calls by silence

Cause: the record of a configuration was part of one message of the exchange between entries, which ended after 0.4 s. Where a link carries the record in more time than that, alone or because several entries send it at once, each call was cut off, nothing of it was kept, and the next one sent all of it again. All other news waited in the same message.

Change: entries announce a large configuration by its stamp. An entry that lacks it asks one source at a time for a few chunks, which are named by their contents and kept, whoever sent them; a newer version costs the chunks that differ. An entry serves four askers at a time and names others that have the record. Lists of endpoints that a search finds are fetched from one entry. Calls between entries and reads of the store end once no byte arrives for a while, not after a fixed time.

--- /dev/null
+++ b/crates/gateway/src/config_copy.rs
@@ -0,0 +1,192 @@
+//! This entry's configuration, those of other entries, and what is under way between them.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use pimentorock_kernel::{
+    time::TimePoint,
+    transfer::{
+        HolderTable, RecordOutline, RecordShelf, RecordStamp, RecordTransfer, ShelfRecord,
+        TransferDesk,
+    },
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock, copy_messages::CopyState, fleet_config::FleetConfig, logs::part, peer::PeerRecord,
+    route_table::RouteTable, state::GatewayState, store::StoreRecord,
+};
+
+/// Size in bytes up to which a configuration travels with other news; a larger one is fetched.
+const SMALL_CONFIG_BYTES: usize = 4 << 10;
+
+/// News of a configuration that the receiver does not have.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum ConfigNews {
+    /// The configuration itself.
+    Record(PeerRecord),
+    /// A configuration that is fetched apart.
+    Offer {
+        stamp: RecordStamp,
+        /// Whether the sender has it; otherwise it has only heard of it.
+        is_held: bool,
+    },
+}
+
+/// The answer to a question for the outline of a configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum TransferAnswer<T> {
+    /// What was asked for.
+    Part(T),
+    /// The entry serves others now; these entries have the record.
+    Busy(Vec<SocketAddr>),
+    /// The entry does not have the record, or not any more.
+    Gone,
+}
+
+/// The configuration of an entry, and those of which it has heard.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigCopy {
+    shelf: RecordShelf<StoreRecord>,
+    /// Newer configurations than that of the shelf.
+    pub(crate) transfer: RecordTransfer,
+    desk: TransferDesk,
+    holders: HolderTable,
+}
+
+impl ConfigCopy {
+    /// Returns the version of the configuration, if there is one.
+    pub(crate) fn version(&self) -> Option<u64> {
+        self.shelf.newest().map(|held| held.stamp.version)
+    }
+
+    /// Returns the record of the configuration with its outline.
+    pub(crate) fn held(&self) -> Option<&ShelfRecord<StoreRecord>> {
+        self.shelf.newest()
+    }
+
+    /// Returns what an entry that has the version `known` lacks.
+    pub(crate) fn news_for(&self, known: Option<u64>) -> Option<ConfigNews> {
+        let is_news = |stamp: &RecordStamp| known.is_none_or(|known| stamp.version > known);
+        let heard = self.transfer.wanted().filter(is_news);
+        let held = self.shelf.newest().filter(|held| is_news(&held.stamp));
+        match (heard, held) {
+            (Some(stamp), _) => Some(ConfigNews::Offer { stamp, is_held: false }),
+            (None, Some(held)) if value_of(&held.record).len() <= SMALL_CONFIG_BYTES => {
+                Some(ConfigNews::Record(held.record.clone().into()))
+            }
+            (None, Some(held)) => Some(ConfigNews::Offer { stamp: held.stamp, is_held: true }),
+            (None, None) => None,
+        }
+    }
+
+    /// Notes what the entry at `from` said of its copy.
+    pub(crate) fn note_copy_of(&mut self, now: TimePoint, from: SocketAddr, copy: &CopyState) {
+        if let Some(version) = copy.config_version {
+            self.holders.note(now, from, version);
+        }
+    }
+
+    /// Notes a configuration that the entry at `from` offers.
+    pub(crate) fn take_offer(
+        &mut self,
+        now: TimePoint,
+        from: SocketAddr,
+        stamp: RecordStamp,
+        is_held: bool,
+    ) {
+        if self.version().is_none_or(|own| stamp.version > own) {
+            self.transfer.offer(now, stamp, is_held.then_some(from));
+        }
+    }
+
+    /// Notes that this entry has put a configuration in force.
+    fn put(&mut self, now: TimePoint, held: ShelfRecord<StoreRecord>) {
+        self.transfer.note_reached(now, held.stamp.version);
+        self.shelf.put(held);
+    }
+
+    /// Answers `asker` with what `part` takes from the record with this stamp.
+    fn serve<T>(
+        &mut self,
+        now: TimePoint,
+        asker: SocketAddr,
+        stamp: &RecordStamp,
+        part: impl FnOnce(&ShelfRecord<StoreRecord>) -> T,
+    ) -> TransferAnswer<T> {
+        let Some(held) = self.shelf.find(stamp) else { return TransferAnswer::Gone };
+        if self.desk.admit(now, asker) {
+            TransferAnswer::Part(part(held))
+        } else {
+            TransferAnswer::Busy(self.holders.named(now, asker, stamp.version))
+        }
+    }
+}
+
+/// Returns the bytes of a record.
+fn value_of(record: &StoreRecord) -> &[u8] {
+    record.value.as_deref().unwrap_or(&[])
+}
+
+impl GatewayState {
+    /// Applies a configuration if it is newer than the current one.
+    ///
+    /// `source` is the origin of the record for the log, `store` or `peer`.
+    pub(crate) fn apply_config(&self, record: &StoreRecord, config: FleetConfig, source: &str) {
+        let _applying = self.applying();
+        let newer = self.routes.load().as_ref().is_none_or(|now| config.version > now.version());
+        if !newer {
+            return;
+        }
+        log::info!(
+            target: part::FOLLOW,
+            version = config.version, offset = record.offset, source = source,
+            routes = config.routes.len(), bytes = value_of(record).len();
+            "configuration applied"
+        );
+        let version = config.version;
+        self.metrics.note_config(version);
+        let memories = config.services.iter();
+        let memories =
+            memories.filter_map(|service| Some((service.name.clone(), service.memory_tokens?)));
+        self.table().set_memories(memories.collect());
+        self.table().set_warmups(config.warmup_limits(self.settings.warmup_allowance));
+        let routes = RouteTable::new(config);
+        self.table().partition_services(routes.partitioned_services());
+        self.routes.store(Some(Arc::new(routes)));
+        let outline = RecordOutline::new(value_of(record));
+        let stamp = outline.stamp(version, record.offset);
+        let now = clock::now();
+        let mut view = self.view();
+        view.configs.put(now, ShelfRecord { stamp, outline, record: record.clone() });
+        view.configured_at.get_or_insert(now);
+    }
+
+    /// Returns the outline of a configuration to the entry at `asker`.
+    pub(crate) fn answer_outline(
+        &self,
+        asker: SocketAddr,
+        stamp: &RecordStamp,
+    ) -> TransferAnswer<RecordOutline> {
+        self.view().configs.serve(clock::now(), asker, stamp, |held| held.outline.clone())
+    }
+
+    /// Returns chunks of a configuration to the entry at `asker`; those that it does not have are empty.
+    pub(crate) fn answer_chunks(
+        &self,
+        asker: SocketAddr,
+        stamp: &RecordStamp,
+        chunks: &[u32],
+    ) -> TransferAnswer<Vec<Vec<u8>>> {
+        let answer = self.view().configs.serve(clock::now(), asker, stamp, |held| {
+            let places: Vec<_> = held.outline.places().map(|(_, place)| place).collect();
+            let value = value_of(&held.record);
+            let chunk = |index: &u32| value.get(places.get(*index as usize)?.clone());
+            let values = chunks.iter().map(|index| chunk(index).unwrap_or_default().to_vec());
+            values.collect::<Vec<Vec<u8>>>()
+        });
+        if let TransferAnswer::Part(values) = &answer {
+            self.metrics.note_transfer_sent(values.iter().map(Vec::len).sum());
+        }
+        answer
+    }
+}
--- a/crates/gateway/src/copy_messages.rs
+++ b/crates/gateway/src/copy_messages.rs
@@ -12,13 +12,16 @@
 
 use crate::{
     clock,
+    config_copy::ConfigNews,
     logs::part,
-    peer::PeerRecord,
     shared_view::{EraChange, age_ms},
     state::GatewayState,
     store::StoreTopic,
 };
 
+/// Size in bytes up to which a list of endpoints is sent to an entry that asks many others as well.
+const SHORT_LIST_BYTES: usize = 4 << 10;
+
 /// A question for a newer copy of the store than that of the asking entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct CopyQuestion {
@@ -28,6 +31,9 @@
     pub(crate) domain: Box<str>,
     /// What the asking entry has.
     pub(crate) state: CopyState,
+    /// Whether the answer may have a long list of endpoints. An entry asks many others for news, but only
+    /// one at a time for such a list.
+    pub(crate) takes_list: bool,
 }
 
 /// How much of the store an entry has.
@@ -54,10 +60,12 @@
     pub(crate) reader: Option<SocketAddr>,
     /// Highest era of the store that the answering entry has seen; the configuration is of this era.
     pub(crate) era: u64,
-    /// Record of the current configuration; `None` if it is not newer than that of the question.
-    pub(crate) config: Option<PeerRecord>,
+    /// A newer configuration than that of the question.
+    pub(crate) config: Option<ConfigNews>,
     /// What the asking entry lacks of the endpoints; `None` if it lacks nothing.
     pub(crate) endpoints: Option<CopyUpdate<Vec<u8>>>,
+    /// Whether the asking entry lacks more of the endpoints than the answer may have.
+    pub(crate) has_list: bool,
     /// Orders to evacuate failure domains; `None` if the asking entry knows them.
     pub(crate) evacuations: Option<EvacuationUpdate>,
     /// Time since the end of the last outage of the store, in milliseconds; `None` if it is long ago.
@@ -88,10 +96,11 @@
         }
     }
 
-    /// Returns the question for a newer copy of the store than this entry's.
-    pub(crate) fn copy_question(&self) -> CopyQuestion {
+    /// Returns the question for a newer copy of the store than this entry's, whose answer may have a long
+    /// list of endpoints if `takes_list` is true.
+    pub(crate) fn copy_question(&self, takes_list: bool) -> CopyQuestion {
         let (peer, domain) = (self.settings.peers, self.settings.domain.clone());
-        CopyQuestion { peer, domain, state: self.copy_state() }
+        CopyQuestion { peer, domain, state: self.copy_state(), takes_list }
     }
 
     /// Answers the question of another entry, with data only if this entry's copy is newer.
@@ -107,7 +116,13 @@
             answer.era > question.state.era || answer.store_age_ms < question.state.store_age_ms
         };
         if is_newer {
-            return answer;
+            let is_long = answer
+                .endpoints
+                .as_ref()
+                .is_some_and(|update| update.value_bytes(Vec::len) > SHORT_LIST_BYTES);
+            let has_list = is_long && !question.takes_list;
+            let endpoints = answer.endpoints.filter(|_| !has_list);
+            return CopyAnswer { endpoints, has_list, ..answer };
         }
         let CopyAnswer { store_age_ms, reader, era, .. } = answer;
         CopyAnswer { store_age_ms, reader, era, ..CopyAnswer::default() }
@@ -131,8 +146,9 @@
             store_age_ms: age_ms(now, current_at),
             reader,
             era: view.era,
-            config: view.config_newer_than(known.config_version).map(PeerRecord::from),
+            config: view.configs.news_for(known.config_version),
             endpoints: endpoints.map(|update| update.map_values(|value| value.to_vec())),
+            has_list: false,
             evacuations,
             outage_age_ms: outage_end.map(|end| age_ms(now, end)),
         }
@@ -155,8 +171,15 @@
         if let Some(evacuations) = answer.evacuations {
             self.adopt_evacuations(evacuations);
         }
-        if let Some(record) = answer.config {
-            self.apply_record(StoreTopic::Config, &record.into(), "peer");
+        match answer.config {
+            Some(ConfigNews::Record(record)) => {
+                self.apply_record(StoreTopic::Config, &record.into(), "peer");
+            }
+            Some(ConfigNews::Offer { stamp, is_held }) => {
+                self.view().configs.take_offer(now, from, stamp, is_held);
+                self.copy_calls.note_offer();
+            }
+            None => {}
         }
         if let Some(age_ms) = answer.outage_age_ms {
             let end = sent_at - Duration::from_millis(age_ms);
@@ -165,7 +188,8 @@
         let is_whole = answer
             .endpoints
             .is_none_or(|endpoints| self.apply_endpoints(endpoints.map_values(Into::into), "peer"));
-        if !is_whole {
+        // A configuration that does not arrive from here has to be looked for elsewhere.
+        if !is_whole || answer.has_list || self.view().lacks_config(now) {
             return;
         }
         let before = self.view().follower.current_at();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -139,7 +139,7 @@
         let pause = exchange_period / if is_settling { SETTLING_RATIO } else { 1 };
         tokio::select! {
             () = stop.cancelled() => return,
-            () = state.copy_calls.notified() => {}
+            () = state.copy_calls.newer_copy() => {}
             () = sleep(pause) => {}
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,8 @@
   of streams in the store, and `origin_calls` wakes it; the kernel's `stream_origin` decides.
 * `follow` updates this state from the store or, through `peer`, from another entry that reads the
   store.
+* `config_copy` holds the configuration and serves it to other entries, `config_transfer` fetches newer ones
+  from them; the kernel's `transfer` decides. Calls end by silence, not by a fixed time (`byte_meter`).
 * `copy_search` asks all other entries for a newer copy of the store while this entry's is old
   (`copy_messages`), whichever of them is the hub.
 * `evacuations` keeps failure domains free of requests as operators order.
@@ -40,12 +42,16 @@
 
 mod acceptor;
 mod body_framing;
+pub mod byte_meter;
 mod caller_request;
 mod callers;
 mod choice_log;
 mod clock;
+mod config_copy;
+mod config_transfer;
 pub mod connection;
 mod connection_pool;
+mod copy_calls;
 mod copy_messages;
 mod copy_search;
 mod crash_checks;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,9 @@
     hub_changes: Counter<u64>,
     late_renewals: Histogram<f64>,
     copy_questions: Counter<u64>,
+    transfer_bytes: Counter<u64>,
+    config_transfers: Histogram<f64>,
+    late_configs: Counter<u64>,
     unreadable_records: Counter<u64>,
 }
 
@@ -105,6 +108,9 @@
             hub_changes: meter.u64_counter("hub_changes").build(),
             copy_questions: meter.u64_counter("store_copy_questions").build(),
             late_renewals: meter.f64_histogram("store_late_renewal_seconds").with_unit("s").build(),
+            transfer_bytes: meter.u64_counter("config_transfer_bytes").build(),
+            config_transfers: meter.f64_histogram("config_transfer_seconds").with_unit("s").build(),
+            late_configs: meter.u64_counter("late_config_transfers").build(),
             panics: meter.u64_counter("panics").build(),
             unreadable_records: meter.u64_counter("unreadable_records").build(),
             _provider: provider,
@@ -283,6 +289,27 @@
         self.copy_questions.add(1, &[KeyValue::new("answered", is_answered)]);
     }
 
+    /// Counts the bytes of a configuration that were sent to another entry.
+    pub(crate) fn note_transfer_sent(&self, bytes: usize) {
+        self.transfer_bytes.add(bytes as u64, &[KeyValue::new("outcome", "sent")]);
+    }
+
+    /// Counts the bytes of a configuration that arrived from another entry, `spare` of them in vain.
+    pub(crate) fn note_transfer_received(&self, taken: u64, spare: u64) {
+        self.transfer_bytes.add(taken, &[KeyValue::new("outcome", "taken")]);
+        self.transfer_bytes.add(spare, &[KeyValue::new("outcome", "spare")]);
+    }
+
+    /// Records the time from the first news of a configuration until it arrived from other entries.
+    pub(crate) fn note_config_fetched(&self, time: Duration) {
+        self.config_transfers.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Counts a configuration that takes longer to arrive than a change may take.
+    pub(crate) fn note_late_config(&self) {
+        self.late_configs.add(1, &[]);
+    }
+
     /// Counts a panic of `part`: the name of a task, or of the topic of a record.
     pub(crate) fn note_panic(&self, part: &'static str) {
         self.panics.add(1, &[KeyValue::new("part", part)]);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -16,6 +16,7 @@
     },
     suspect::{LedgerPosition, PartDelta, SuspectDelta},
     time::MAX_WALL_MS,
+    transfer::{RecordOutline, RecordStamp},
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -23,7 +24,10 @@
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 use tokio_util::{
     codec::{LengthDelimitedCodec, length_delimited::Builder},
     sync::CancellationToken,
@@ -31,19 +35,22 @@
 
 use crate::{
     acceptor::accept_connections,
-    clock, connection,
+    byte_meter::{ByteMeter, CountedStream},
+    clock,
+    config_copy::TransferAnswer,
+    connection,
     copy_messages::{CopyAnswer, CopyQuestion, CopyState},
     logs::part,
     state::GatewayState,
     store::StoreRecord,
 };
 
-/// Maximum size of one report or update in bytes. An update with the records of some thousand
-/// endpoints has about a megabyte.
+/// Maximum size of one message in bytes. An update with the records of some thousand endpoints has about
+/// a megabyte; configurations are sent in parts.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
-/// Maximum time for one exchange with a peer, including the time to connect.
-pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum time of a call to a peer in which no byte arrives, and maximum time to connect.
+pub(crate) const PEER_SILENCE: Duration = Duration::from_millis(400);
 
 /// A record of the store in the form in which entries exchange it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -234,6 +241,14 @@
     async fn find_origin(question: OriginQuestion, hops: u32) -> OriginAnswer;
     /// Returns what the asking entry lacks of the store, if this entry has a newer copy.
     async fn fetch_copy(question: CopyQuestion) -> CopyAnswer;
+    /// Returns the outline of a configuration to the entry at `asker`.
+    async fn fetch_outline(asker: SocketAddr, stamp: RecordStamp) -> TransferAnswer<RecordOutline>;
+    /// Returns chunks of a configuration, by their indexes in the outline, to the entry at `asker`.
+    async fn fetch_chunks(
+        asker: SocketAddr,
+        stamp: RecordStamp,
+        chunks: Vec<u32>,
+    ) -> TransferAnswer<Vec<Vec<u8>>>;
     /// Takes records of streams that the store should have at once.
     async fn note_origins(records: Vec<OriginRecord>);
 }
@@ -262,6 +277,25 @@
         self.state.answer_copy_question(&question)
     }
 
+    async fn fetch_outline(
+        self,
+        _: context::Context,
+        asker: SocketAddr,
+        stamp: RecordStamp,
+    ) -> TransferAnswer<RecordOutline> {
+        self.state.answer_outline(asker, &stamp)
+    }
+
+    async fn fetch_chunks(
+        self,
+        _: context::Context,
+        asker: SocketAddr,
+        stamp: RecordStamp,
+        chunks: Vec<u32>,
+    ) -> TransferAnswer<Vec<Vec<u8>>> {
+        self.state.answer_chunks(asker, &stamp, &chunks)
+    }
+
     async fn note_origins(self, _: context::Context, records: Vec<OriginRecord>) {
         self.state.take_urgent_origins(records);
     }
@@ -288,7 +322,7 @@
 /// Open connections to other entries, reused between calls.
 #[derive(Default)]
 pub(crate) struct PeerClients {
-    open: HashMap<SocketAddr, GatewayPeerClient>,
+    open: HashMap<SocketAddr, PeerConnection>,
     /// Entries whose last call failed.
     lost: Vec<SocketAddr>,
     /// What entries that answered and this one know of each other's ledgers.
@@ -303,8 +337,8 @@
 
     /// Sends `report` to the entry at `address` and returns its answer.
     ///
-    /// Returns `None` if the entry does not answer within [`PEER_TIMEOUT`], and records the result
-    /// in the roster in either case.
+    /// Returns `None` if the entry sends nothing for [`PEER_SILENCE`], and records the result in the
+    /// roster in either case.
     pub(crate) async fn exchange(
         &mut self,
         state: &GatewayState,
@@ -313,8 +347,7 @@
     ) -> Option<EntryUpdate> {
         let sent = (report.suspects.position, report.part_suspects.position);
         let sent_origins = report.origins.position;
-        let answered = tokio::time::timeout(PEER_TIMEOUT, self.call(address, report)).await;
-        let outcome = answered.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+        let outcome = self.call(address, report).await;
         let now = clock::now();
         match outcome {
             Ok(update) => {
@@ -348,18 +381,28 @@
         address: SocketAddr,
         report: EntryReport,
     ) -> Result<EntryUpdate, String> {
-        let client = match self.open.get(&address) {
-            Some(client) => client,
+        let late = || "no answer in time".to_owned();
+        let connection = match self.open.get(&address) {
+            Some(connection) => connection,
             None => {
-                let client = connect(address).await?;
-                self.open.entry(address).or_insert(client)
+                let connected = timeout(PEER_SILENCE, connect(address)).await;
+                self.open.entry(address).or_insert(connected.map_err(|_| late())??)
             }
         };
-        let answer = client.exchange(context::current(), report).await;
+        let call = connection.client.exchange(context::current(), report);
+        let answer = connection.meter.until_silent(PEER_SILENCE, call).await.ok_or_else(late)?;
         answer.map_err(|error| error.to_string())
     }
 }
 
+/// A connection to another entry.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerConnection {
+    pub(crate) client: GatewayPeerClient,
+    /// Counts the bytes of the connection.
+    pub(crate) meter: ByteMeter,
+}
+
 fn frame_codec() -> Builder {
     let mut builder = LengthDelimitedCodec::builder();
     builder.max_frame_length(MAX_MESSAGE_BYTES);
@@ -371,11 +414,13 @@
 /// # Errors
 ///
 /// Fails if the entry cannot be reached.
-pub(crate) async fn connect(address: SocketAddr) -> Result<GatewayPeerClient, String> {
+pub(crate) async fn connect(address: SocketAddr) -> Result<PeerConnection, String> {
     let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
     connection::configure_socket(&stream, connection::SERVER_TIMEOUT)
         .map_err(|error| error.to_string())?;
-    let framed = frame_codec().new_framed(stream);
+    let meter = ByteMeter::new();
+    let framed = frame_codec().new_framed(CountedStream::new(stream, meter.clone()));
     let transport = serde_transport::new(framed, Bincode::default());
-    Ok(GatewayPeerClient::new(client::Config::default(), transport).spawn())
+    let client = GatewayPeerClient::new(client::Config::default(), transport).spawn();
+    Ok(PeerConnection { client, meter })
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    callers, clock, copy_search, duty,
+    callers, clock, config_transfer, copy_search, duty,
     error::{ErrorKind, GatewayError},
     follow,
     logs::{self, part},
@@ -184,6 +184,7 @@
     tokio::spawn(lasting_task(state, stop, "expire_idle", follow::expire_idle));
     tokio::spawn(lasting_task(state, stop, "exchange_with_peers", follow::exchange_with_peers));
     tokio::spawn(lasting_task(state, stop, "search_copies", copy_search::search_copies));
+    tokio::spawn(lasting_task(state, stop, "fetch_configs", config_transfer::fetch_configs));
 }
 
 /// Returns the task `run` named `name`, which is started again if it ends by a panic.
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -15,12 +15,13 @@
 
 use crate::{
     clock,
+    config_copy::ConfigCopy,
     copy_messages::CopyState,
     follow::{ENTRY_LIST_PERIOD, MAX_SETTLING_TIME},
     logs::part,
     peer::{EntryReport, EntryShare, EntryUpdate, GroupReport, KnownLedgers},
     state::GatewayState,
-    store::{StoreRecord, StoreTopic},
+    store::StoreTopic,
 };
 
 /// Age of this entry's copy of the store up to which an entry that starts may rely on it.
@@ -44,8 +45,8 @@
     pub(crate) entry_count: SlidingMaximum,
     /// Highest era of the store that was seen; 0 before the first contact or if the store states none.
     pub(crate) era: u64,
-    /// Record of the current configuration, with its version.
-    config: Option<(u64, StoreRecord)>,
+    /// The current configuration, and newer ones of other entries.
+    pub(crate) configs: ConfigCopy,
     /// Position of the next record to read of each topic that is followed, the endpoints excepted.
     next_positions: HashMap<StoreTopic, LogPosition>,
     /// Whether the suspects were read from the store or from another entry that knows them.
@@ -74,7 +75,7 @@
             forwarded_until_ms: HashMap::new(),
             entry_count: SlidingMaximum::new(),
             era: 0,
-            config: None,
+            configs: ConfigCopy::default(),
             next_positions: HashMap::new(),
             knows_suspects: false,
             duty_seen: None,
@@ -97,14 +98,7 @@
 
     /// Returns the version of the current configuration, if there is one.
     pub(crate) fn config_version(&self) -> Option<u64> {
-        self.config.as_ref().map(|(version, _)| *version)
-    }
-
-    /// Returns the record of the current configuration if it is newer than `version`.
-    pub(crate) fn config_newer_than(&self, version: Option<u64>) -> Option<StoreRecord> {
-        let newer =
-            self.config.as_ref().filter(|(own, _)| version.is_none_or(|known| *own > known));
-        newer.map(|(_, record)| record.clone())
+        self.configs.version()
     }
 
     /// Returns the time at which this entry's copy of the store turns too old.
@@ -118,6 +112,7 @@
         if copy.era == self.era {
             let current_at = now - Duration::from_millis(copy.store_age_ms);
             self.follower.note_report(now, from, current_at);
+            self.configs.note_copy_of(now, from, copy);
         }
     }
 
@@ -135,6 +130,12 @@
         self.follower.note_read(self.config_current_at.min(self.endpoints_current_at), role);
     }
 
+    /// Reports whether a newer configuration is known of which nothing arrives, so that this entry has to
+    /// look for it elsewhere.
+    pub(crate) fn lacks_config(&self, now: TimePoint) -> bool {
+        self.configs.transfer.is_stuck(now, self.roster.budget().attempt_time())
+    }
+
     /// Records that the entry at `from` passed on data which matched the store at time `at` and were
     /// read by `reader`.
     pub(crate) fn note_passed_on(
@@ -176,11 +177,6 @@
         now.since(self.follower.current_at()) <= MAX_VOUCHED_AGE
     }
 
-    /// Stores the record of the current configuration.
-    pub(crate) fn cache_config(&mut self, version: u64, record: StoreRecord) {
-        self.config = Some((version, record));
-    }
-
     /// Stores the usage share of a process unless a newer one is known, or no process can have counted it.
     pub(crate) fn take_share(&mut self, share: EntryShare) {
         if !share.usage.is_readable() {
@@ -251,6 +247,7 @@
             view.era = era;
             before
         };
+        self.view().configs.transfer.forget();
         self.archive().forget();
         self.part_archive().forget();
         self.origins().note_loss();
@@ -388,7 +385,7 @@
         view.note_duty_row(now, report.duty_seen);
         view.note_copy_of(now, report.peer, &report.copy);
         if view.follower.source(now).is_some() {
-            self.copy_calls.notify_one();
+            self.copy_calls.note_newer();
         }
         let has_clock = report.wall_ms <= MAX_WALL_MS;
         if let Some(group) = report.group {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,13 +25,11 @@
     time::TimePoint,
 };
 
-use tokio::sync::Notify;
-
 use crate::{
     clock,
     connection_pool::ConnectionPool,
+    copy_calls::CopyCalls,
     crash_checks::{CrashChecks, EndpointInstance},
-    fleet_config::FleetConfig,
     logs::part,
     message_buffers::MessageBuffers,
     metrics::GatewayMetrics,
@@ -102,10 +100,10 @@
     pub(crate) run_doubts: RunDoubts,
     /// Software versions that began streams.
     origins: StateLock<StreamOrigins>,
-    /// Connections to the entries that are asked for versions of streams and copies of the store.
+    /// Connections to the entries that are asked for versions of streams.
     pub(crate) peer_pool: PeerPool,
-    /// Wakes the exchange with other entries once one of them has a newer copy of the store.
-    pub(crate) copy_calls: Notify,
+    /// What wakes the tasks that fetch newer copies of the store.
+    pub(crate) copy_calls: CopyCalls,
     /// What must not wait for the next exchange of the versions of streams.
     pub(crate) origin_calls: OriginCalls,
     usage_counter: StateLock<UsageCounter>,
@@ -144,7 +142,7 @@
             run_doubts: RunDoubts::default(),
             origins: StateLock::new(StreamOrigins::new(&process.name, process.incarnation)),
             peer_pool: PeerPool::default(),
-            copy_calls: Notify::new(),
+            copy_calls: CopyCalls::default(),
             origin_calls: OriginCalls::new(),
             process,
             codec,
@@ -292,36 +290,6 @@
         known && knows_others && !self.planned_stop.has_begun()
     }
 
-    /// Applies a configuration if it is newer than the current one.
-    ///
-    /// `source` is the origin of the record for the log, `store` or `peer`.
-    pub(crate) fn apply_config(&self, record: &StoreRecord, config: FleetConfig, source: &str) {
-        let _applying = self.applying();
-        let newer = self.routes.load().as_ref().is_none_or(|now| config.version > now.version());
-        if !newer {
-            return;
-        }
-        log::info!(
-            target: part::FOLLOW,
-            version = config.version, offset = record.offset, source = source,
-            routes = config.routes.len();
-            "configuration applied"
-        );
-        let version = config.version;
-        self.metrics.note_config(version);
-        let memories = config.services.iter();
-        let memories =
-            memories.filter_map(|service| Some((service.name.clone(), service.memory_tokens?)));
-        self.table().set_memories(memories.collect());
-        self.table().set_warmups(config.warmup_limits(self.settings.warmup_allowance));
-        let routes = RouteTable::new(config);
-        self.table().partition_services(routes.partitioned_services());
-        self.routes.store(Some(Arc::new(routes)));
-        let mut view = self.view();
-        view.cache_config(version, record.clone());
-        view.configured_at.get_or_insert(clock::now());
-    }
-
     /// Applies a record of a topic in which records are independent of each other.
     ///
     /// A configuration that cannot be decoded is ignored.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,7 +10,7 @@
     place::{EndpointRecord, KeyedRecord},
 };
 
-use crate::fleet_config::FleetConfig;
+use crate::{byte_meter::ByteMeter, fleet_config::FleetConfig};
 
 /// A topic of the store; each topic retains the newest record of each key indefinitely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -99,8 +99,28 @@
 /// report of a new holder.
 pub const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Meters of the bytes that arrive from the store, by topic.
+#[derive(Clone, Debug, Default)]
+pub struct StoreMeters([ByteMeter; 6]);
+
+impl StoreMeters {
+    /// Returns meters that have counted nothing.
+    pub fn new() -> StoreMeters {
+        StoreMeters::default()
+    }
+
+    /// Returns the meter of a topic.
+    pub fn topic(&self, topic: StoreTopic) -> &ByteMeter {
+        &self.0[topic as usize]
+    }
+}
+
 /// Calls to the platform's store, and decoders for its records.
 pub struct FleetStore {
+    /// What arrives in answer to reads.
+    pub received: StoreMeters,
+    /// Key of configurations in [`StoreTopic::Config`].
+    pub config_key: &'static str,
     /// Reads records from an offset.
     pub read: ReadCall,
     /// Reads the newest record of each key.
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -7,7 +7,7 @@
     log_position::LogPosition,
     time::TimePoint,
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -138,9 +138,10 @@
                 None => self.read_newest().await,
             }
         };
-        let outcome = timeout(wait + budget.attempt_time(), reading).await;
+        let meter = self.state.store.received.topic(self.topic);
+        let outcome = meter.until_silent(wait + budget.attempt_time(), reading).await;
         let outcome =
-            outcome.unwrap_or_else(|_| Err(StoreError::NoResponse("no answer in time".into())));
+            outcome.unwrap_or_else(|| Err(StoreError::NoResponse("no answer in time".into())));
         self.state.metrics.note_store_call(topic_name(self.topic), outcome.is_ok());
         self.continues = matches!(outcome, Ok(ReadExtent::Whole | ReadExtent::Cut));
         match &outcome {
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -14,17 +14,19 @@
     send_limit::{GrantRow, LimitAnswer, LimitReport, LimitScope, TicketLot},
     stream_origin::{OriginQuestion, StreamKey, VersionNews},
     suspect::{CrashRecord, PartDelta, PartHistory, SuspectDelta, SuspectTable},
+    transfer::RecordStamp,
 };
 
 use crate::{
     clock,
+    config_copy::ConfigNews,
     copy_messages::{CopyAnswer, CopyQuestion, CopyState},
     fleet_config::{CallerLimits, FleetConfig},
     peer::{EntryReport, EntryShare, EntryUpdate, GroupReport, KnownLedgers, LimitUpdate},
     settings::GatewaySettings,
     state::GatewayState,
     state_lock::recovered_locks,
-    store::{FleetStore, StoreError, StoreRecord},
+    store::{FleetStore, StoreError, StoreMeters, StoreRecord},
     wire::{CallerHead, ResponseHead, WireCodec},
 };
 
@@ -66,6 +68,8 @@
         report_started: |_| None,
     };
     let store = FleetStore {
+        received: StoreMeters::new(),
+        config_key: "config",
         read: Box::new(|_, _, _| Box::pin(async { Err(StoreError::Trimmed) })),
         newest: Box::new(|_| Box::pin(async { Err(StoreError::Trimmed) })),
         append: Box::new(|_, _, _| Box::pin(async { Ok(LogPosition { era: 0, offset: 0 }) })),
@@ -203,13 +207,23 @@
             store_age_ms: self.u64(),
             reader: Some(self.address()),
             era: if self.draw() { era % 3 } else { era },
-            config: None,
+            config: if self.draw() { Some(self.offer()) } else { None },
+            has_list: self.draw(),
             endpoints: if self.draw() { Some(self.endpoints()) } else { None },
             evacuations: if self.draw() { Some(self.evacuations()) } else { None },
             outage_age_ms: if self.draw() { Some(self.u64()) } else { None },
         }
     }
 
+    fn stamp(&mut self) -> RecordStamp {
+        let (version, offset) = (self.u64(), self.u64());
+        RecordStamp { version, offset, bytes: self.u64(), digest: self.u64() }
+    }
+
+    fn offer(&mut self) -> ConfigNews {
+        ConfigNews::Offer { stamp: self.stamp(), is_held: self.draw() }
+    }
+
     fn log_position(&mut self) -> LogPosition {
         LogPosition { era: self.u64(), offset: self.u64() }
     }
@@ -285,8 +299,13 @@
             let from = source.address();
             state.apply_update(from, clock::now(), source.update(), source.draw());
             let (peer, domain) = (source.address(), source.name());
-            let question = CopyQuestion { peer, domain, state: source.copy_state() };
+            let takes_list = source.draw();
+            let question = CopyQuestion { peer, domain, state: source.copy_state(), takes_list };
             let _ = state.answer_copy_question(&question);
+            let stamp = source.stamp();
+            let _ = state.answer_outline(peer, &stamp);
+            let _ = state.answer_chunks(peer, &stamp, &[source.u32()]);
+            let _ = state.view().configs.transfer.step(clock::now());
             let answer = source.copy_answer();
             if answer.is_readable() {
                 state.apply_copy(peer, clock::now(), answer, "search");
@@ -352,7 +371,8 @@
     let (state, from) = (state(), SocketAddr::from(([10, 0, 0, 1], 1)));
     let answer = |era: u64, version: u64| {
         let record = StoreRecord { offset: version, key: "config".into(), value: None };
-        CopyAnswer { era, config: Some(record.into()), ..CopyAnswer::default() }
+        let config = Some(ConfigNews::Record(record.into()));
+        CopyAnswer { era, config, ..CopyAnswer::default() }
     };
     let mut versions = Vec::new();
     for (era, version) in [(1, 3), (2, 4), (1, 9), (2, 5), (0, 8)] {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -28,6 +28,7 @@
 * [`retry`] decides whether a request that failed is sent again.
 * [`scale`] decides when endpoints are started and stopped.
 * [`stream_origin`] knows the software version at which a broken stream may go on.
+* [`transfer`] decides how entries fetch large records from each other.
 * [`suspect`] prevents a request that crashes endpoints from crashing more than two.
 
 # Example
@@ -64,3 +65,4 @@
 pub mod stream_origin;
 pub mod suspect;
 pub mod time;
+pub mod transfer;
--- a/crates/kernel/src/place/copy_update.rs
+++ b/crates/kernel/src/place/copy_update.rs
@@ -85,6 +85,13 @@
         self.records.len()
     }
 
+    /// Returns the bytes of all values, whose sizes `bytes` tells, and of their keys.
+    pub fn value_bytes(&self, bytes: impl Fn(&V) -> usize) -> usize {
+        let record =
+            |record: &KeyedRecord<V>| record.key.len() + record.value.as_ref().map_or(0, &bytes);
+        self.records.iter().map(record).sum()
+    }
+
     /// Reports whether there are no records.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
