--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -19,17 +19,22 @@
 /// Size in bytes up to which a configuration travels with other news; a larger one is fetched.
 const SMALL_CONFIG_BYTES: usize = 4 << 10;
 
-/// News of a configuration that the receiver does not have.
+/// A configuration that the sender has.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum ConfigNews {
+pub(crate) enum HeldConfig {
     /// The configuration itself.
     Record(PeerRecord),
     /// A configuration that is fetched apart.
-    Offer {
-        stamp: RecordStamp,
-        /// Whether the sender has it; otherwise it has only heard of it.
-        is_held: bool,
-    },
+    Offer(RecordStamp),
+}
+
+/// News of configurations that the receiver does not have.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ConfigNews {
+    /// Configuration of the sender, if it is newer than the receiver's.
+    pub(crate) held: Option<HeldConfig>,
+    /// A newer one of which the sender has heard.
+    pub(crate) heard: Option<RecordStamp>,
 }
 
 /// The answer to a question for the outline of a configuration.
@@ -65,18 +70,15 @@
     }
 
     /// Returns what an entry that has the version `known` lacks.
-    pub(crate) fn news_for(&self, known: Option<u64>) -> Option<ConfigNews> {
+    pub(crate) fn news_for(&self, known: Option<u64>) -> ConfigNews {
         let is_news = |stamp: &RecordStamp| known.is_none_or(|known| stamp.version > known);
-        let heard = self.transfer.wanted().filter(is_news);
-        let held = self.shelf.newest().filter(|held| is_news(&held.stamp));
-        match (heard, held) {
-            (Some(stamp), _) => Some(ConfigNews::Offer { stamp, is_held: false }),
-            (None, Some(held)) if value_of(&held.record).len() <= SMALL_CONFIG_BYTES => {
-                Some(ConfigNews::Record(held.record.clone().into()))
+        let held = self.shelf.newest().filter(|held| is_news(&held.stamp)).map(|held| {
+            match value_of(&held.record).len() <= SMALL_CONFIG_BYTES {
+                true => HeldConfig::Record(held.record.clone().into()),
+                false => HeldConfig::Offer(held.stamp),
             }
-            (None, Some(held)) => Some(ConfigNews::Offer { stamp: held.stamp, is_held: true }),
-            (None, None) => None,
-        }
+        });
+        ConfigNews { held, heard: self.transfer.wanted().filter(is_news) }
     }
 
     /// Notes what the entry at `from` said of its copy.
@@ -86,23 +88,22 @@
         }
     }
 
-    /// Notes a configuration that the entry at `from` offers.
+    /// Notes a configuration that the entry at `source` has, or another one that is not known.
     pub(crate) fn take_offer(
         &mut self,
         now: TimePoint,
-        from: SocketAddr,
         stamp: RecordStamp,
-        is_held: bool,
+        source: Option<SocketAddr>,
     ) {
         if self.version().is_none_or(|own| stamp.version > own) {
-            self.transfer.offer(now, stamp, is_held.then_some(from));
+            self.transfer.offer(now, stamp, source);
         }
     }
 
     /// Notes that this entry has put a configuration in force.
     fn put(&mut self, now: TimePoint, held: ShelfRecord<StoreRecord>) {
         self.transfer.note_reached(now, held.stamp.version);
-        self.shelf.put(held);
+        self.shelf.put(now, held);
     }
 
     /// Answers `asker` with what `part` takes from the record with this stamp.
@@ -113,7 +114,7 @@
         stamp: &RecordStamp,
         part: impl FnOnce(&ShelfRecord<StoreRecord>) -> T,
     ) -> TransferAnswer<T> {
-        let Some(held) = self.shelf.find(stamp) else { return TransferAnswer::Gone };
+        let Some(held) = self.shelf.find(now, stamp) else { return TransferAnswer::Gone };
         if self.desk.admit(now, asker) {
             TransferAnswer::Part(part(held))
         } else {
--- a/crates/gateway/src/copy_messages.rs
+++ b/crates/gateway/src/copy_messages.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    config_copy::ConfigNews,
+    config_copy::{ConfigNews, HeldConfig},
     logs::part,
     shared_view::{EraChange, age_ms},
     state::GatewayState,
@@ -60,8 +60,8 @@
     pub(crate) reader: Option<SocketAddr>,
     /// Highest era of the store that the answering entry has seen; the configuration is of this era.
     pub(crate) era: u64,
-    /// A newer configuration than that of the question.
-    pub(crate) config: Option<ConfigNews>,
+    /// Newer configurations than that of the question.
+    pub(crate) config: ConfigNews,
     /// What the asking entry lacks of the endpoints; `None` if it lacks nothing.
     pub(crate) endpoints: Option<CopyUpdate<Vec<u8>>>,
     /// Whether the asking entry lacks more of the endpoints than the answer may have.
@@ -171,16 +171,7 @@
         if let Some(evacuations) = answer.evacuations {
             self.adopt_evacuations(evacuations);
         }
-        match answer.config {
-            Some(ConfigNews::Record(record)) => {
-                self.apply_record(StoreTopic::Config, &record.into(), "peer");
-            }
-            Some(ConfigNews::Offer { stamp, is_held }) => {
-                self.view().configs.take_offer(now, from, stamp, is_held);
-                self.copy_calls.note_offer();
-            }
-            None => {}
-        }
+        self.apply_config_news(now, from, answer.config);
         if let Some(age_ms) = answer.outage_age_ms {
             let end = sent_at - Duration::from_millis(age_ms);
             self.endpoints().note_outage_end(end);
@@ -198,6 +189,22 @@
         self.note_renewal(before, source);
     }
 
+    fn apply_config_news(&self, now: TimePoint, from: SocketAddr, news: ConfigNews) {
+        let offered = match news.held {
+            Some(HeldConfig::Record(record)) => {
+                self.apply_record(StoreTopic::Config, &record.into(), "peer");
+                None
+            }
+            Some(HeldConfig::Offer(stamp)) => Some((stamp, Some(from))),
+            None => None,
+        };
+        let offers = offered.into_iter().chain(news.heard.map(|stamp| (stamp, None)));
+        for (stamp, source) in offers {
+            self.view().configs.take_offer(now, stamp, source);
+            self.copy_calls.note_offer();
+        }
+    }
+
     /// Logs and measures a renewal of this entry's copy of the store, which matched it at `before` until now,
     /// if the copy had been too old; `source` is `store`, `hub` or `peer`.
     pub(crate) fn note_renewal(&self, before: TimePoint, source: &'static str) {
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     clock,
-    config_copy::ConfigNews,
+    config_copy::{ConfigNews, HeldConfig},
     copy_messages::{CopyAnswer, CopyQuestion, CopyState},
     fleet_config::{CallerLimits, FleetConfig},
     peer::{EntryReport, EntryShare, EntryUpdate, GroupReport, KnownLedgers, LimitUpdate},
@@ -207,7 +207,7 @@
             store_age_ms: self.u64(),
             reader: Some(self.address()),
             era: if self.draw() { era % 3 } else { era },
-            config: if self.draw() { Some(self.offer()) } else { None },
+            config: self.config_news(),
             has_list: self.draw(),
             endpoints: if self.draw() { Some(self.endpoints()) } else { None },
             evacuations: if self.draw() { Some(self.evacuations()) } else { None },
@@ -220,8 +220,9 @@
         RecordStamp { version, offset, bytes: self.u64(), digest: self.u64() }
     }
 
-    fn offer(&mut self) -> ConfigNews {
-        ConfigNews::Offer { stamp: self.stamp(), is_held: self.draw() }
+    fn config_news(&mut self) -> ConfigNews {
+        let held = if self.draw() { Some(HeldConfig::Offer(self.stamp())) } else { None };
+        ConfigNews { held, heard: if self.draw() { Some(self.stamp()) } else { None } }
     }
 
     fn log_position(&mut self) -> LogPosition {
@@ -371,7 +372,8 @@
     let (state, from) = (state(), SocketAddr::from(([10, 0, 0, 1], 1)));
     let answer = |era: u64, version: u64| {
         let record = StoreRecord { offset: version, key: "config".into(), value: None };
-        let config = Some(ConfigNews::Record(record.into()));
+        let held = Some(HeldConfig::Record(record.into()));
+        let config = ConfigNews { held, heard: None };
         CopyAnswer { era, config, ..CopyAnswer::default() }
     };
     let mut versions = Vec::new();
--- a/crates/kernel/src/transfer/record_shelf.rs
+++ b/crates/kernel/src/transfer/record_shelf.rs
@@ -1,11 +1,17 @@
 //! The records that this entry passes on.
 
-use crate::transfer::{RecordOutline, RecordStamp};
+use std::time::Duration;
 
-/// Number of records before the newest one that are kept for askers which have begun to fetch them, and
-/// the bytes of all of these together.
-const MAX_EARLIER: usize = 2;
-const MAX_EARLIER_BYTES: u64 = 4 << 20;
+use crate::{
+    time::TimePoint,
+    transfer::{RecordOutline, RecordStamp},
+};
+
+/// Time after its last question for which a record that was replaced is kept for its askers.
+const ASKED_LIFE: Duration = Duration::from_secs(1);
+
+/// Bytes of all records together that are kept beside the newest one.
+const MAX_EARLIER_BYTES: u64 = 8 << 20;
 
 /// A record with its outline.
 #[derive(Clone, Debug)]
@@ -18,11 +24,19 @@
     pub record: V,
 }
 
-/// The newest version of a record, and a few that came before it.
+/// A record with the time at which it was last asked for, or put.
+#[derive(Clone, Debug)]
+struct ShelfRow<V> {
+    held: ShelfRecord<V>,
+    asked_at: TimePoint,
+}
+
+/// The newest version of a record, and those before it that other entries have begun to fetch.
 #[derive(Clone, Debug)]
 pub struct RecordShelf<V> {
-    newest: Option<ShelfRecord<V>>,
-    earlier: Vec<ShelfRecord<V>>,
+    newest: Option<ShelfRow<V>>,
+    /// Replaced records, the newest first.
+    earlier: Vec<ShelfRow<V>>,
 }
 
 impl<V> Default for RecordShelf<V> {
@@ -39,23 +53,31 @@
 
     /// Returns the newest record.
     pub fn newest(&self) -> Option<&ShelfRecord<V>> {
-        self.newest.as_ref()
+        self.newest.as_ref().map(|row| &row.held)
     }
 
     /// Puts a record that replaces the newest one.
-    pub fn put(&mut self, record: ShelfRecord<V>) {
-        self.earlier.splice(0..0, self.newest.replace(record));
+    pub fn put(&mut self, now: TimePoint, held: ShelfRecord<V>) {
+        let row = ShelfRow { held, asked_at: now };
+        self.earlier.splice(0..0, self.newest.replace(row));
+        self.forget_unasked(now);
         let mut bytes = 0;
-        let fitting = self.earlier.iter().take_while(|earlier| {
-            bytes += earlier.stamp.bytes;
+        self.earlier.retain(|row| {
+            bytes += row.held.stamp.bytes;
             bytes <= MAX_EARLIER_BYTES
         });
-        let kept = fitting.count().min(MAX_EARLIER);
-        self.earlier.truncate(kept);
     }
 
     /// Returns the record with this stamp, if it is kept.
-    pub fn find(&self, stamp: &RecordStamp) -> Option<&ShelfRecord<V>> {
-        self.newest.iter().chain(&self.earlier).find(|record| record.stamp == *stamp)
+    pub fn find(&mut self, now: TimePoint, stamp: &RecordStamp) -> Option<&ShelfRecord<V>> {
+        self.forget_unasked(now);
+        let mut rows = self.newest.iter_mut().chain(&mut self.earlier);
+        let row = rows.find(|row| row.held.stamp == *stamp)?;
+        row.asked_at = now;
+        Some(&row.held)
+    }
+
+    fn forget_unasked(&mut self, now: TimePoint) {
+        self.earlier.retain(|row| now.since(row.asked_at) < ASKED_LIFE);
     }
 }
--- a/crates/kernel/src/transfer/record_transfer.rs
+++ b/crates/kernel/src/transfer/record_transfer.rs
@@ -54,12 +54,12 @@
 }
 
 /// What is known of an entry that has the record.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct SourceRow {
     /// Highest version that the entry has.
     version: u64,
-    /// Highest version that the entry turned out not to have any more.
-    lacks: Option<u64>,
+    /// Versions that the entry turned out not to have.
+    lacks: Vec<u64>,
     ready_at: TimePoint,
     failures: u32,
 }
@@ -135,6 +135,7 @@
             self.note_source(now, source, stamp.version);
         }
         if self.wanted().is_some_and(|wanted| wanted.version >= stamp.version) {
+            self.prefer_held(now, stamp);
             return;
         }
         if self.current.is_none() {
@@ -146,9 +147,26 @@
         }
     }
 
+    /// Fetches an offered record first if nobody is known to have the one that is wanted.
+    fn prefer_held(&mut self, now: TimePoint, stamp: RecordStamp) {
+        let Some(current) = &self.current else { return };
+        let is_reachable = current.outline.is_some() || self.holder(current.stamp.version);
+        if stamp.version < current.stamp.version && !is_reachable && self.holder(stamp.version) {
+            self.progressed_at = now;
+            let unheld = self.current.replace(WantedRecord::new(stamp));
+            self.newer = self.newer.take().or(unheld);
+        }
+    }
+
+    /// Reports whether an entry is known that may have this version.
+    fn holder(&self, version: u64) -> bool {
+        let may_have = |row: &SourceRow| row.version >= version && !row.lacks.contains(&version);
+        self.sources.values().any(may_have)
+    }
+
     /// Notes an entry that has this version.
     pub fn note_source(&mut self, now: TimePoint, source: SocketAddr, version: u64) {
-        let fresh = SourceRow { version, lacks: None, ready_at: now, failures: 0 };
+        let fresh = SourceRow { version, lacks: Vec::new(), ready_at: now, failures: 0 };
         let row = self.sources.entry(source).or_insert(fresh);
         row.version = row.version.max(version);
     }
@@ -161,6 +179,9 @@
             (self.begun_at, self.progressed_at) = (now, now);
             self.newer.take()
         });
+        for row in self.sources.values_mut() {
+            row.lacks.retain(|lacking| *lacking > version);
+        }
         if self.current.is_none() {
             let (pace, refused) = (self.pace, self.refused);
             *self = RecordTransfer { pace, refused, ..RecordTransfer::new() };
@@ -288,7 +309,7 @@
     /// Notes that `source` does not have the record any more.
     pub fn note_gone(&mut self, source: SocketAddr, stamp: RecordStamp) {
         if let Some(row) = self.sources.get_mut(&source) {
-            row.lacks = row.lacks.max(Some(stamp.version));
+            row.lacks.push(stamp.version);
         }
     }
 
@@ -321,9 +342,10 @@
 
     /// Returns the entry to ask for this version, or the time until one may be asked.
     fn source(&self, now: TimePoint, version: u64) -> Result<SocketAddr, Duration> {
-        let holders = self.sources.iter().filter(|(_, row)| {
-            row.version >= version && row.lacks.is_none_or(|lacking| lacking < version)
-        });
+        let holders = self
+            .sources
+            .iter()
+            .filter(|(_, row)| row.version >= version && !row.lacks.contains(&version));
         let ready = holders.clone().filter(|(_, row)| row.ready_at <= now);
         let rank = |(address, row): &(&SocketAddr, &SourceRow)| {
             (self.served_by != Some(**address), row.failures, row.ready_at)
@@ -340,13 +362,12 @@
     /// Reports whether the newer record is to be fetched in place of `current`.
     fn is_superseded(&self, current: &WantedRecord) -> bool {
         let Some(newer) = &self.newer else { return false };
-        let lacks = |row: &SourceRow| row.lacks >= Some(current.stamp.version);
-        let is_gone = self.sources.values().all(lacks);
+        let is_gone = !self.holder(current.stamp.version);
         let left = |record: &WantedRecord| {
             record.outline.as_ref().map(|outline| self.missing_bytes(outline))
         };
         match (left(current), left(newer)) {
-            (None, _) => true,
+            (None, _) => is_gone || self.holder(newer.stamp.version),
             (Some(current), Some(newer)) => is_gone || newer <= current,
             (Some(_), None) => is_gone,
         }
