--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -213,7 +213,8 @@
     let Some(route) = find_route(&routes, &parts).cloned() else {
         return reject(state, &head.id, StatusCode::NOT_FOUND, "no route", routes.version());
     };
-    let account = head.key.as_deref().and_then(|key| routes.account(key)).cloned();
+    let key = head.key.as_deref().filter(|key| !state.view().configs.withdraws(key));
+    let account = key.and_then(|key| routes.account(key)).cloned();
     if routes.needs_key() && !route.public && account.is_none() {
         let status = StatusCode::UNAUTHORIZED;
         return reject(state, &head.id, status, "unknown key", routes.version());
--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -6,7 +6,7 @@
     time::TimePoint,
     transfer::{
         HolderTable, RecordOutline, RecordShelf, RecordStamp, RecordTransfer, ShelfRecord,
-        TransferDesk,
+        TransferDesk, WithdrawnKeys,
     },
 };
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,8 @@
     pub(crate) held: Option<HeldConfig>,
     /// A newer one of which the sender has heard.
     pub(crate) heard: Option<RecordStamp>,
+    /// Keys that newer ones withdraw, with their versions.
+    pub(crate) withdrawn: Vec<(Box<str>, u64)>,
 }
 
 /// The answer to a question for the outline of a configuration.
@@ -56,6 +58,7 @@
     pub(crate) transfer: RecordTransfer,
     desk: TransferDesk,
     holders: HolderTable,
+    withdrawn: WithdrawnKeys,
 }
 
 impl ConfigCopy {
@@ -78,7 +81,10 @@
                 false => HeldConfig::Offer(held.stamp),
             }
         });
-        ConfigNews { held, heard: self.transfer.wanted().filter(is_news) }
+        let heard = self.transfer.wanted().filter(is_news);
+        // An entry without a configuration serves nobody.
+        let withdrawn = known.map(|known| self.withdrawn.since(known)).unwrap_or_default();
+        ConfigNews { held, heard, withdrawn }
     }
 
     /// Notes what the entry at `from` said of its copy.
@@ -100,8 +106,43 @@
         }
     }
 
-    /// Notes that this entry has put a configuration in force.
-    fn put(&mut self, now: TimePoint, held: ShelfRecord<StoreRecord>) {
+    /// Notes keys that other entries know to be withdrawn, and returns how many of them are news.
+    pub(crate) fn take_withdrawn(&mut self, keys: &[(Box<str>, u64)]) -> usize {
+        let own = self.version().unwrap_or(0);
+        let is_news = |(key, version): &&(Box<str>, u64)| {
+            *version > own && !self.withdrawn.contains(key, *version - 1)
+        };
+        let news: Vec<_> = keys.iter().filter(is_news).collect();
+        news.iter().for_each(|(key, version)| self.withdrawn.note(key, *version));
+        news.len()
+    }
+
+    /// Reports whether a newer configuration than this entry's withdraws `key`.
+    pub(crate) fn withdraws(&self, key: &str) -> bool {
+        self.withdrawn.contains(key, self.version().unwrap_or(0))
+    }
+
+    /// Forgets what is known of newer configurations, as the store has lost them.
+    pub(crate) fn forget_newer(&mut self) {
+        self.transfer.forget();
+        self.withdrawn.forget_after(self.version().unwrap_or(0));
+    }
+
+    /// Notes that this entry has put a configuration in force, which takes the place of that of `before`.
+    fn put(
+        &mut self,
+        now: TimePoint,
+        held: ShelfRecord<StoreRecord>,
+        before: Option<&RouteTable>,
+        routes: &RouteTable,
+    ) {
+        let version = held.stamp.version;
+        self.withdrawn.settle(version, |key| routes.account(key).is_some());
+        for key in before.into_iter().flat_map(RouteTable::keys) {
+            if routes.needs_key() && routes.account(key).is_none() {
+                self.withdrawn.note(key, version);
+            }
+        }
         self.transfer.note_reached(now, held.stamp.version);
         self.shelf.put(now, held);
     }
@@ -153,12 +194,14 @@
         self.table().set_warmups(config.warmup_limits(self.settings.warmup_allowance));
         let routes = RouteTable::new(config);
         self.table().partition_services(routes.partitioned_services());
-        self.routes.store(Some(Arc::new(routes)));
+        let routes = Arc::new(routes);
+        let before = self.routes.swap(Some(Arc::clone(&routes)));
         let outline = RecordOutline::new(value_of(record));
         let stamp = outline.stamp(version, record.offset);
         let now = clock::now();
         let mut view = self.view();
-        view.configs.put(now, ShelfRecord { stamp, outline, record: record.clone() });
+        let held = ShelfRecord { stamp, outline, record: record.clone() };
+        view.configs.put(now, held, before.as_deref(), &routes);
         view.configured_at.get_or_insert(now);
     }
 
--- a/crates/gateway/src/copy_messages.rs
+++ b/crates/gateway/src/copy_messages.rs
@@ -190,6 +190,13 @@
     }
 
     fn apply_config_news(&self, now: TimePoint, from: SocketAddr, news: ConfigNews) {
+        let withdrawn = self.view().configs.take_withdrawn(&news.withdrawn);
+        if withdrawn > 0 {
+            log::info!(
+                target: part::FOLLOW, keys = withdrawn, peer = from.to_string();
+                "keys withdrawn ahead of their configuration"
+            );
+        }
         let offered = match news.held {
             Some(HeldConfig::Record(record)) => {
                 self.apply_record(StoreTopic::Config, &record.into(), "peer");
--- a/crates/gateway/src/route_table.rs
+++ b/crates/gateway/src/route_table.rs
@@ -78,6 +78,11 @@
         self.keys.is_some()
     }
 
+    /// Returns all keys.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = &str> {
+        self.keys.iter().flat_map(|keys| keys.keys()).map(|key| &**key)
+    }
+
     /// Returns the client account that `key` identifies.
     pub(crate) fn account(&self, key: &str) -> Option<&AccountSpec> {
         let index = self.keys.as_ref()?.get(key)?;
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -247,7 +247,7 @@
             view.era = era;
             before
         };
-        self.view().configs.transfer.forget();
+        self.view().configs.forget_newer();
         self.archive().forget();
         self.part_archive().forget();
         self.origins().note_loss();
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -222,7 +222,9 @@
 
     fn config_news(&mut self) -> ConfigNews {
         let held = if self.draw() { Some(HeldConfig::Offer(self.stamp())) } else { None };
-        ConfigNews { held, heard: if self.draw() { Some(self.stamp()) } else { None } }
+        let heard = if self.draw() { Some(self.stamp()) } else { None };
+        let withdrawn = self.list(|source| (source.name(), source.u64()));
+        ConfigNews { held, heard, withdrawn }
     }
 
     fn log_position(&mut self) -> LogPosition {
@@ -373,7 +375,7 @@
     let answer = |era: u64, version: u64| {
         let record = StoreRecord { offset: version, key: "config".into(), value: None };
         let held = Some(HeldConfig::Record(record.into()));
-        let config = ConfigNews { held, heard: None };
+        let config = ConfigNews { held, ..ConfigNews::default() };
         CopyAnswer { era, config, ..CopyAnswer::default() }
     };
     let mut versions = Vec::new();
--- a/crates/kernel/src/transfer/mod.rs
+++ b/crates/kernel/src/transfer/mod.rs
@@ -5,7 +5,8 @@
 //! [`PartPace`]). What has arrived is kept, whoever sent it and whichever version it belonged to: the
 //! chunks of a record are named by their contents ([`RecordOutline`]), so that a newer version costs
 //! only the chunks that differ. An entry serves a few askers at a time ([`TransferDesk`]), and names
-//! others that have the record ([`HolderTable`]) to the rest.
+//! others that have the record ([`HolderTable`]) to the rest. Withdrawn keys do not wait for the
+//! configuration that withdraws them ([`WithdrawnKeys`]).
 
 mod holder_table;
 mod part_pace;
@@ -14,6 +15,7 @@
 mod record_stamp;
 mod record_transfer;
 mod transfer_desk;
+mod withdrawn_keys;
 
 pub use self::{
     holder_table::HolderTable,
@@ -23,4 +25,5 @@
     record_stamp::{MAX_RECORD_BYTES, RecordStamp},
     record_transfer::{RecordTransfer, TransferStep},
     transfer_desk::TransferDesk,
+    withdrawn_keys::WithdrawnKeys,
 };
--- a/crates/kernel/tests/transfer_fleet.rs
+++ b/crates/kernel/tests/transfer_fleet.rs
@@ -125,14 +125,6 @@
     for version in 1..41 {
         fleet.put(version, record(version, 2_000, 0));
         fleet.run(Duration::from_millis(250));
-        eprintln!(
-            "{version}: {:?}",
-            fleet
-                .entries
-                .iter()
-                .map(|e| (e.version(), e.record_bytes as u64 / 1000))
-                .collect::<Vec<_>>()
-        );
     }
     let held = fleet.entries.iter().map(|entry| entry.version()).min().unwrap();
     fleet.newest() - held
