Look for a configuration elsewhere only when nobody who has it answers

An entry whose part took longer than a fifth of the bound on a slow link, or whose source served others, counted as stuck and read the store as well, over the same link. Now silence and the lack of a source count, a slow or busy source does not.

--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -133,7 +133,7 @@
     /// Reports whether a newer configuration is known of which nothing arrives, so that this entry has to
     /// look for it elsewhere.
     pub(crate) fn lacks_config(&self, now: TimePoint) -> bool {
-        self.configs.transfer.is_stuck(now, self.roster.budget().attempt_time())
+        self.configs.transfer.is_stuck(now, self.roster.budget().attempt_period())
     }
 
     /// Records that the entry at `from` passed on data which matched the store at time `at` and were
--- a/crates/kernel/src/transfer/record_transfer.rs
+++ b/crates/kernel/src/transfer/record_transfer.rs
@@ -94,7 +94,8 @@
     chunks: HashMap<u64, Box<[u8]>>,
     pace: PartPace,
     begun_at: TimePoint,
-    progressed_at: TimePoint,
+    /// Time since which nobody who might have the record has answered.
+    unanswered_since: Option<TimePoint>,
     fetched_bytes: u64,
     /// Highest version that arrived and could not be used.
     refused: Option<u64>,
@@ -116,9 +117,10 @@
         self.current.as_ref().map(|_| self.begun_at)
     }
 
-    /// Reports whether a record is wanted of which nothing arrived for `patience`.
+    /// Reports whether a record is wanted and, for the time `patience`, nobody who might have it has
+    /// answered. A slow link or a busy source are no reason to look elsewhere.
     pub fn is_stuck(&self, now: TimePoint, patience: Duration) -> bool {
-        self.current.is_some() && now.since(self.progressed_at) > patience
+        self.unanswered_since.is_some_and(|since| now.since(since) > patience)
     }
 
     /// Returns the number of bytes of records that arrived since a record is wanted.
@@ -135,11 +137,11 @@
             self.note_source(now, source, stamp.version);
         }
         if self.wanted().is_some_and(|wanted| wanted.version >= stamp.version) {
-            self.prefer_held(now, stamp);
+            self.prefer_held(stamp);
             return;
         }
         if self.current.is_none() {
-            (self.begun_at, self.progressed_at) = (now, now);
+            self.begun_at = now;
             self.fetched_bytes = 0;
             self.current = Some(WantedRecord::new(stamp));
         } else {
@@ -148,11 +150,11 @@
     }
 
     /// Fetches an offered record first if nobody is known to have the one that is wanted.
-    fn prefer_held(&mut self, now: TimePoint, stamp: RecordStamp) {
+    fn prefer_held(&mut self, stamp: RecordStamp) {
         let Some(current) = &self.current else { return };
         let is_reachable = current.outline.is_some() || self.holder(current.stamp.version);
         if stamp.version < current.stamp.version && !is_reachable && self.holder(stamp.version) {
-            self.progressed_at = now;
+            self.unanswered_since = None;
             let unheld = self.current.replace(WantedRecord::new(stamp));
             self.newer = self.newer.take().or(unheld);
         }
@@ -176,7 +178,7 @@
         let is_newer = |record: &WantedRecord| record.stamp.version > version;
         self.newer = self.newer.take().filter(is_newer);
         self.current = self.current.take().filter(is_newer).or_else(|| {
-            (self.begun_at, self.progressed_at) = (now, now);
+            self.begun_at = now;
             self.newer.take()
         });
         for row in self.sources.values_mut() {
@@ -222,7 +224,10 @@
             return TransferStep::Complete { stamp, value: value.copied().collect() };
         }
         match (self.source(now, stamp.version), missing) {
-            (Err(pause), _) => TransferStep::Wait(pause),
+            (Err(pause), _) => {
+                self.unanswered_since.get_or_insert(now);
+                TransferStep::Wait(pause)
+            }
             (Ok(source), None) => TransferStep::FetchOutline { source, stamp },
             (Ok(source), Some(missing)) => {
                 let chunks = self.part_of(current, missing);
@@ -258,7 +263,7 @@
         for record in wanted.filter(|record| record.stamp == stamp) {
             record.outline = Some(outline.clone());
         }
-        self.note_progress(now, source);
+        self.note_progress(source);
         true
     }
 
@@ -288,7 +293,7 @@
         }
         self.pace.note_part(taken as usize, time);
         self.fetched_bytes += taken;
-        self.note_progress(now, source);
+        self.note_progress(source);
         taken
     }
 
@@ -300,6 +305,7 @@
         stamp: RecordStamp,
         holders: &[SocketAddr],
     ) {
+        self.unanswered_since = None;
         self.pause_source(source, now + BUSY_PAUSE);
         for holder in holders {
             self.note_source(now, *holder, stamp.version);
@@ -316,6 +322,7 @@
     /// Notes that `source` did not answer, or not properly.
     pub fn note_failure(&mut self, now: TimePoint, source: SocketAddr) {
         self.pace.note_failure();
+        self.unanswered_since.get_or_insert(now);
         self.pause_source(source, now + FAILURE_PAUSE);
         if let Some(row) = self.sources.get_mut(&source) {
             row.failures += 1;
@@ -332,8 +339,8 @@
         self.served_by = self.served_by.filter(|serving| *serving != source);
     }
 
-    fn note_progress(&mut self, now: TimePoint, source: SocketAddr) {
-        self.progressed_at = now;
+    fn note_progress(&mut self, source: SocketAddr) {
+        self.unanswered_since = None;
         self.served_by = Some(source);
         if let Some(row) = self.sources.get_mut(&source) {
             row.failures = 0;
