A configuration is the same at another offset

After a store came back from an older copy it may hold the same configuration at another offset, and entries that read it before and after would tell each other that they do not have it. Found by reading; test of the shelf. The time without an answer begins anew with a further record.

--- a/crates/kernel/src/transfer/record_shelf.rs
+++ b/crates/kernel/src/transfer/record_shelf.rs
@@ -68,11 +68,11 @@
         });
     }
 
-    /// Returns the record with this stamp, if it is kept.
+    /// Returns the record with this stamp, at any offset, if it is kept.
     pub fn find(&mut self, now: TimePoint, stamp: &RecordStamp) -> Option<&ShelfRecord<V>> {
         self.forget_unasked(now);
         let mut rows = self.newest.iter_mut().chain(&mut self.earlier);
-        let row = rows.find(|row| row.held.stamp == *stamp)?;
+        let row = rows.find(|row| row.held.stamp.is_same_record(stamp))?;
         row.asked_at = now;
         Some(&row.held)
     }
--- a/crates/kernel/src/transfer/record_stamp.rs
+++ b/crates/kernel/src/transfer/record_stamp.rs
@@ -19,6 +19,13 @@
 }
 
 impl RecordStamp {
+    /// Reports whether records with the two stamps have the same version and contents. A store that comes
+    /// back from an older copy may give the same record another offset.
+    pub fn is_same_record(&self, other: &RecordStamp) -> bool {
+        let contents = |stamp: &RecordStamp| (stamp.version, stamp.bytes, stamp.digest);
+        contents(self) == contents(other)
+    }
+
     /// Reports whether a record can have the stamp.
     pub fn is_readable(&self) -> bool {
         (1..=MAX_RECORD_BYTES).contains(&self.bytes)
--- a/crates/kernel/src/transfer/record_transfer.rs
+++ b/crates/kernel/src/transfer/record_transfer.rs
@@ -179,6 +179,7 @@
         self.newer = self.newer.take().filter(is_newer);
         self.current = self.current.take().filter(is_newer).or_else(|| {
             self.begun_at = now;
+            self.unanswered_since = None;
             self.newer.take()
         });
         for row in self.sources.values_mut() {
--- a/crates/kernel/tests/transfer_fleet.rs
+++ b/crates/kernel/tests/transfer_fleet.rs
@@ -2,6 +2,10 @@
 
 use std::{env, time::Duration};
 
+use pimentorock_kernel::{
+    time::TimePoint,
+    transfer::{RecordOutline, RecordShelf, ShelfRecord},
+};
 use quickcheck::{Arbitrary, Gen};
 
 mod transfer_simulation;
@@ -139,6 +143,18 @@
     assert!(behind < 20 && newest_only > 30, "{behind}, {newest_only}");
 }
 
+/// Guards against a record that no entry serves once the store has given it another offset.
+#[test]
+fn a_record_with_another_offset_is_the_same_record() {
+    let value = record(7, 900, 900);
+    let outline = RecordOutline::new(&value);
+    let (stamp, moved) = (outline.stamp(7, 5), outline.stamp(7, 4));
+    let now = TimePoint::from_millis(1);
+    let mut shelf = RecordShelf::new();
+    shelf.put(now, ShelfRecord { stamp, outline, record: value });
+    assert_eq!(shelf.find(now, &moved).map(|held| held.stamp), Some(stamp));
+}
+
 /// The search finds the landed way of sending, and calls of a fixed time.
 #[test]
 fn the_search_finds_each_broken_way_of_sending() {
