--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins and checks of the review's cases 6 to 10.
 
 mod base64;
+mod cut_entry;
+mod cut_proxy;
 mod fleet;
 mod frozen_entry;
 mod gone_server;
@@ -36,6 +38,9 @@
         ["gone-server", repository, folder] => {
             exit(gone_server::run(&fleet::Case::new(repository, folder)));
         }
+        ["cut-entry", repository, folder] => {
+            exit(cut_entry::run(&fleet::Case::new(repository, folder)));
+        }
         _ => {
             eprintln!("usage: stand-ins-2 CASE REPOSITORY FOLDER");
             exit(2);
--- a/review/stand-ins-2/src/stream_server.rs
+++ b/review/stand-ins-2/src/stream_server.rs
@@ -11,7 +11,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -35,6 +35,7 @@
     events: u32,
     pause: Duration,
     runs: Arc<Mutex<Vec<String>>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
     /// Whether the server has crashed.
     has_crashed: Arc<AtomicBool>,
     listener: Arc<TcpListener>,
@@ -62,6 +63,7 @@
             events,
             pause,
             runs: Arc::default(),
+            arrivals: Arc::default(),
             has_crashed: Arc::default(),
             listener: Arc::clone(&listener),
             unaccepted: Arc::default(),
@@ -122,6 +124,11 @@
         self.runs.lock().unwrap().clone()
     }
 
+    /// Returns when requests arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
@@ -148,6 +155,7 @@
                 }
                 continue;
             }
+            self.arrivals.lock().unwrap().push(Instant::now());
             let after = request.header("last-event-id").parse().unwrap_or(0);
             self.runs.lock().unwrap().push(format!("{attempt} after event {after}"));
             let is_unframed = request.path().contains("/unframed/");
