--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -14,6 +14,7 @@
 mod store;
 mod stream_client;
 mod stream_server;
+mod two_hubs;
 mod unread_marker;
 
 use std::{process::exit, time::Duration};
@@ -38,6 +39,9 @@
         ["gone-server", repository, folder] => {
             exit(gone_server::run(&fleet::Case::new(repository, folder)));
         }
+        ["two-hubs", repository, folder] => {
+            exit(two_hubs::run(&fleet::Case::new(repository, folder)));
+        }
         ["cut-entry", repository, folder] => {
             exit(cut_entry::run(&fleet::Case::new(repository, folder)));
         }
