--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,11 +1,10 @@
-//! Stand-ins and checks of the review's cases 6 to 10.
+//! Stand-ins and checks of the review's cases 7 to 10.
 
 mod base64;
 mod cut_entry;
 mod cut_proxy;
 mod fleet;
 mod frozen_entry;
-mod gone_server;
 mod http;
 mod older_copy;
 mod plain_server;
@@ -36,9 +35,6 @@
         ["older-copy", repository, folder] => {
             exit(older_copy::run(&fleet::Case::new(repository, folder)));
         }
-        ["gone-server", repository, folder] => {
-            exit(gone_server::run(&fleet::Case::new(repository, folder)));
-        }
         ["two-hubs", repository, folder] => {
             exit(two_hubs::run(&fleet::Case::new(repository, folder)));
         }
--- a/review/stand-ins-2/src/plain_server.rs
+++ b/review/stand-ins-2/src/plain_server.rs
@@ -36,6 +36,13 @@
     let mut buffer = Vec::new();
     while let Ok(request) = http::read_request(&mut stream, &mut buffer) {
         let attempt = request.header("x-attempt-id").to_owned();
+        if request.path() == "/health" {
+            let headers = [("X-Instance-Id", id), ("X-Server-Load", "0,0,6")];
+            if stream.write_all(&answer("200 OK", &headers, b"")).is_err() {
+                return;
+            }
+            continue;
+        }
         if attempt.is_empty() {
             // A plain service makes no report of its own.
             if stream.write_all(&answer("404 Not Found", &[], b"")).is_err() {
