--- a/review/stand-ins-3/src/cases/store_drill.rs
+++ b/review/stand-ins-3/src/cases/store_drill.rs
@@ -1,5 +1,5 @@
-//! The store comes back from a copy that shows a server which has left since, while the entry that reads it
-//! was killed.
+//! The store comes back from a copy that shows a server which has left since, and at first turns the entry away that
+//! reads it for the others.
 
 use std::{io, thread::sleep, time::Duration};
 
@@ -18,17 +18,16 @@
 /// Time from the copy until the server leaves.
 const UNTIL_LEAVES: Duration = Duration::from_millis(2_000);
 
-/// Time for which the store is away, and the killed process too.
+/// Time for which the store is away.
 const AWAY: Duration = Duration::from_millis(2_000);
-const DOWN: Duration = Duration::from_millis(1_000);
 
-/// Time for which a server serves after the store is back.
+/// Time for which the server serves after the store is back, and the store turns the first entry away.
 const LONGER: Duration = Duration::from_millis(1_800);
 
 /// Time between two requests at each entry.
 const PERIOD: Duration = Duration::from_millis(200);
 
-/// Servers at the start, and those of them that leave one after the other.
+/// Servers at the start, and those of them that leave, each before a drill.
 const SERVERS: usize = 8;
 const LEAVING: usize = 3;
 
@@ -38,12 +37,14 @@
     put_config(&store);
     let start = |index| Server::start(&format!("i-{index}"), model(), &store, record);
     let servers: Vec<Server> = (0..SERVERS).map(start).collect::<io::Result<_>>()?;
-    let mut entries = fleet::start(&stage.folder, 4, &store)?;
+    let first = store.at_another_address()?;
+    let stores = [first.address, store.address, store.address, store.address];
+    let entries = fleet::start_at(&stage.folder, &stores)?;
     record.note("all entries are ready");
     let ask = Ask { is_model: true, ..Ask::new("POST", "/chat/", 15_000) };
-    // Clients of the first entry, which is killed, do not count.
     let load = |entry: &Entry| Load::start(record, &entry.name, entry.callers, ask.clone(), PERIOD);
-    let killed_load = load(&entries[0]);
+    // Requests of the first entry do not count.
+    let first_load = load(&entries[0]);
     let loads: Vec<Load> = entries[1..].iter().map(load).collect();
     let mut leavings = Vec::new();
     for server in &servers[..LEAVING] {
@@ -55,36 +56,33 @@
         sleep(COPY_AGE - UNTIL_LEAVES);
         if stage.trouble {
             store.go_down();
-            entries[0].kill();
-            record.note("the store is away; the entry that reads it is killed");
-            sleep(DOWN);
-            entries[0].start()?;
-            sleep(AWAY - DOWN);
+            record.note("the store is away");
+            sleep(AWAY);
+            first.set_refusing(true);
             store.come_back(&copy);
             record.note("the store is back from the copy");
         } else {
             sleep(AWAY);
         }
         sleep(LONGER);
+        first.set_refusing(false);
         leavings.push((server, left, server.exit()));
     }
     sleep(Duration::from_secs(2));
-    killed_load.end();
+    first_load.end();
     let outcomes: Vec<Outcome> = loads.into_iter().flat_map(Load::end).collect();
     let mut broken = false;
     for (server, left, exited) in leavings {
         let counts = |attempt: &str| outcomes.iter().any(|outcome| outcome.attempt == attempt);
-        let late: Vec<_> = server
-            .runs()
-            .into_iter()
-            .filter(|run| run.at > left + DRAIN && counts(&run.attempt))
-            .collect();
-        let cut = late.iter().filter(|run| !run.whole).count();
+        let runs = server.runs().into_iter();
+        let late: Vec<_> =
+            runs.filter(|run| run.at > left + DRAIN && counts(&run.attempt)).collect();
         record.say(&format!(
-            "{}: {} requests reached it, from entries that were not killed, later than drain-ms after its entry was \
-             removed; {cut} of them were cut when it exited, {:.1} s after that",
+            "{}: {} requests reached it, from the entries that the store served, later than drain-ms after its entry was \
+             removed; {} of them were cut when it exited, {:.1} s after that",
             server.id(),
             late.len(),
+            late.iter().filter(|run| !run.whole).count(),
             (exited - left).as_secs_f64()
         ));
         broken |= !late.is_empty();
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -5,7 +5,7 @@
     io::{self, Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Command, Stdio},
     sync::Mutex,
     thread,
     time::{Duration, Instant},
@@ -13,9 +13,7 @@
 
 use crate::store::Store;
 
-/// Signals.
-pub const SIGKILL: i32 = 9;
-pub const SIGCONT: i32 = 18;
+const SIGKILL: i32 = 9;
 
 /// Ports of a machine for callers, readiness and control, on a loopback address of its own.
 const PORTS: [u16; 3] = [8_227, 8_220, 8_229];
@@ -27,27 +25,16 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-/// Sends a signal to a process that this program started.
-pub fn signal(pid: u32, signal: i32) {
-    // SAFETY: the call has no effect on memory.
-    unsafe { kill(pid as i32, signal) };
-}
-
 /// Notes a process that has to be ended.
-pub fn note_started(pid: u32) {
+fn note_started(pid: u32) {
     STARTED.lock().unwrap().push(pid);
 }
 
-/// Forgets a process that was waited for.
-pub fn note_ended(pid: u32) {
-    STARTED.lock().unwrap().retain(|started| *started != pid);
-}
-
 /// Ends all processes that are still running.
 pub fn end_all() {
     for pid in STARTED.lock().unwrap().drain(..) {
-        signal(pid, SIGCONT);
-        signal(pid, SIGKILL);
+        // SAFETY: the call has no effect on memory.
+        unsafe { kill(pid as i32, SIGKILL) };
     }
 }
 
@@ -58,12 +45,11 @@
     ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
-    child: Option<Child>,
 }
 
 impl Entry {
     /// Starts the process as the deploy file says.
-    pub fn start(&mut self) -> io::Result<()> {
+    fn start(&self) -> io::Result<()> {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let child = Command::new("target/release/pimentorockd")
             .arg("--hosted")
@@ -73,26 +59,9 @@
             .stderr(log)
             .spawn()?;
         note_started(child.id());
-        self.child = Some(child);
         Ok(())
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, number: i32) {
-        if let Some(child) = &self.child {
-            signal(child.id(), number);
-        }
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        self.signal(SIGKILL);
-        if let Some(mut child) = self.child.take() {
-            let _ = child.wait();
-            note_ended(child.id());
-        }
-    }
-
     /// Reports whether the process says that it is ready.
     pub fn is_ready(&self) -> bool {
         let asked = || -> io::Result<bool> {
@@ -110,21 +79,25 @@
 /// Starts `count` entries behind one store, with the settings of a small deployment, and waits until all are
 /// ready.
 pub fn start(folder: &Path, count: u8, store: &Store) -> io::Result<Vec<Entry>> {
-    let addresses = free_addresses(count)?;
+    start_at(folder, &vec![store.address; usize::from(count)])
+}
+
+/// Starts an entry for each of the addresses at which the store serves it, as [`start`] does.
+pub fn start_at(folder: &Path, stores: &[SocketAddr]) -> io::Result<Vec<Entry>> {
+    let addresses = free_addresses(stores.len() as u8)?;
     let seeds = addresses.iter().take(3).map(|address| format!("  - \"{address}:{}\"\n", PORTS[2]));
     let seeds: String = seeds.collect();
     let mut entries = Vec::new();
-    for (index, address) in addresses.iter().enumerate() {
+    for (index, (address, store)) in addresses.iter().zip(stores).enumerate() {
         let name = format!("front-santander-{}", index + 1);
         let settings = folder.join(format!("{name}.yaml"));
-        fs::write(&settings, settings_text(&name, *address, &seeds, store.address))?;
-        let mut entry = Entry {
+        fs::write(&settings, settings_text(&name, *address, &seeds, *store))?;
+        let entry = Entry {
             callers: (*address, PORTS[0]).into(),
             ready: (*address, PORTS[1]).into(),
             log: folder.join(format!("{name}.log")),
             name,
             settings,
-            child: None,
         };
         entry.start()?;
         entries.push(entry);
--- a/review/stand-ins-3/src/store.rs
+++ b/review/stand-ins-3/src/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io::BufReader,
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -44,13 +47,15 @@
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
     pub address: SocketAddr,
+    /// Whether calls to this address are refused with 503.
+    refuses: Arc<AtomicBool>,
 }
 
 impl Store {
     /// Starts the store at a free port.
     pub fn start() -> std::io::Result<Store> {
         let (listener, address) = http::listen()?;
-        let store = Store { state: Arc::default(), address };
+        let store = Store { state: Arc::default(), address, refuses: Arc::default() };
         let serving = store.clone();
         http::serve(listener, move |stream| serving.handle(stream));
         let expiring = store.clone();
@@ -63,6 +68,20 @@
         Ok(store)
     }
 
+    /// Returns the same store at another address, at which it may turn its callers away.
+    pub fn at_another_address(&self) -> std::io::Result<Store> {
+        let (listener, address) = http::listen()?;
+        let store = Store { state: Arc::clone(&self.state), address, refuses: Arc::default() };
+        let serving = store.clone();
+        http::serve(listener, move |stream| serving.handle(stream));
+        Ok(store)
+    }
+
+    /// Sets whether calls to this address are refused.
+    pub fn set_refusing(&self, refuses: bool) {
+        self.refuses.store(refuses, Ordering::Relaxed);
+    }
+
     /// Appends a record, as the operator and the servers do. Returns whether the store took it.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> bool {
         let mut state = self.state.0.lock().unwrap();
@@ -158,7 +177,7 @@
             return ("200 OK", b"{}".to_vec());
         }
         let topic = parameter(query, "topic").unwrap_or_default();
-        if self.state.0.lock().unwrap().down {
+        if self.state.0.lock().unwrap().down || self.refuses.load(Ordering::Relaxed) {
             return ("503 Service Unavailable", b"{}".to_vec());
         }
         match (method, path) {
