--- a/review/stand-ins-2/src/frozen_entry.rs
+++ b/review/stand-ins-2/src/frozen_entry.rs
@@ -28,9 +28,9 @@
 /// From the request to the freeze and to the crash.
 const FREEZE_AT: Duration = Duration::from_millis(150);
 const CRASH_AT: Duration = Duration::from_millis(250);
-/// The server is back 2 s after its crash, the entry goes on after 2.6 s.
-const BACK_AT: Duration = Duration::from_millis(2_250);
-const THAW_AT: Duration = Duration::from_millis(2_750);
+/// The server is back 1.4 s after its crash, the entry goes on after 1.65 s, within the route's time-out.
+const BACK_AT: Duration = Duration::from_millis(1_650);
+const THAW_AT: Duration = Duration::from_millis(1_800);
 const DEADLINE: Duration = Duration::from_millis(4_000);
 const BEAT: Duration = Duration::from_millis(1_200);
 
@@ -66,7 +66,7 @@
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"desk.example\",\"path-prefix\":\"/{name}/\",\
-             \"kind\":\"{kind}\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"priority\":2,\
+             \"kind\":\"{kind}\",\"timeout-ms\":2000,\"target-latency-ms\":300,\"priority\":2,\
              \"service\":\"desk\",\"max-attempts\":{attempts}}}"
         )
     };
@@ -99,8 +99,14 @@
         eprintln!("the entry is not ready");
         return 2;
     }
-    let mut violations = Vec::new();
+    // Traffic starts 10 s after the machines do.
     let mut beat = 1;
+    for _ in 0..6 {
+        beat += 1;
+        servers.iter().for_each(|server| list(&store, server, beat));
+        thread::sleep(BEAT);
+    }
+    let mut violations = Vec::new();
     for round in 0..ROUNDS {
         // Servers write at every beat; the entry is in touch again before the next round.
         for _ in 0..3 {
--- a/review/stand-ins-2/src/older_copy.rs
+++ b/review/stand-ins-2/src/older_copy.rs
@@ -77,8 +77,8 @@
         return 2;
     }
     let entries = Arc::new(RwLock::new(entries));
-    // The fleet writes by which shares streams begin.
-    thread::sleep(Duration::from_secs(4));
+    // Traffic starts 10 s after the machines do.
+    thread::sleep(Duration::from_secs(10));
     let begun = Instant::now();
     let until = |at: Duration| thread::sleep(at.saturating_sub(begun.elapsed()));
     let copy = store.copy();
--- a/review/stand-ins-3/src/cases/late_heartbeat.rs
+++ b/review/stand-ins-3/src/cases/late_heartbeat.rs
@@ -12,6 +12,9 @@
     store::Store,
 };
 
+/// Time from the start of the machines to that of the traffic.
+const LEAD: Duration = Duration::from_secs(10);
+
 /// Time from the call without an answer until the store executes it; `late` allows 1 to 6 s.
 const LATE: Duration = Duration::from_millis(5_100);
 
@@ -37,10 +40,11 @@
     let servers: Vec<Server> = (0..SERVERS).map(start).collect::<io::Result<_>>()?;
     let entries = fleet::start(&stage.folder, 4, &store)?;
     record.note("all entries are ready");
+    sleep(LEAD);
     let ask = Ask { is_model: true, ..Ask::new("POST", "/chat/", 15_000) };
     let load = |entry: &Entry| Load::start(record, &entry.name, entry.callers, ask.clone(), PERIOD);
     let loads: Vec<Load> = entries.iter().map(load).collect();
-    sleep(Duration::from_secs(5));
+    sleep(Duration::from_secs(2));
     let mut broken = false;
     for (index, server) in servers[..LEAVING].iter().enumerate() {
         server.await_beat(stage.trouble.then_some(LATE));
--- a/review/stand-ins-3/src/server.rs
+++ b/review/stand-ins-3/src/server.rs
@@ -233,6 +233,9 @@
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader)? {
             self.respond(&mut writer, &request)?;
+            if self.0.says_leaving.load(Ordering::Relaxed) {
+                break;
+            }
         }
         Ok(())
     }
@@ -245,6 +248,7 @@
         let mut headers = vec![("X-Attempt-Id", attempt.as_str()), ("Keep-Alive", "timeout=10")];
         if !leaving.is_empty() {
             headers.push(("Server-Leaving", leaving));
+            headers.push(("Connection", "close"));
         }
         if path == "/api/report" && !shared.habits.reports {
             headers.remove(0);
