Streams begin only by shares that the store has

The store's partition of streams was down, endpoints of a second version joined, and all entries were killed twice.

Cause: an entry that could not read the marker for 2 s served without it and began streams by its own list of endpoints. All that knew these streams was in memory. After the next kill the marker from before named one version as the only one at which a stream can have begun.

Change: a stream that may be taken up begins by a span that the store has, at an entry that its hub counts among those that follow it; otherwise it is refused as not run, with a time to come back ("stream_shares_unknown", metric refused_starts).

While the partition is away and all entries were restarted, no such stream begins.

--- a/crates/daemon/tests/stream_version_facts.rs
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -34,6 +34,15 @@
 /// Time after which the entries of a fleet know each other, and no span of its start is open.
 const SETTLED: Duration = Duration::from_secs(2);
 
+/// Topic of the versions that began streams.
+const ORIGINS: &str = "keyed.stream-origins";
+
+/// Time after which an entry that lacks the shares by which streams begin is ready without them.
+const READY_WITHOUT_SHARES: Duration = Duration::from_millis(2_500);
+
+/// Time for which streams run before their entries are killed.
+const UNDER_WAY: Duration = Duration::from_millis(1_200);
+
 /// Events after which a caller closes its connection.
 const FEW_EVENTS: usize = 3;
 
@@ -181,3 +190,31 @@
     }
     assert!(2 * went_on >= count, "{went_on} of {count} streams went on");
 }
+
+/// Guards against streams that begin by shares which no entry has read, and of which no later process knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_began_while_the_shares_could_not_be_read_are_not_joined() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    tokio::time::sleep(SETTLED).await;
+    fleet.platform.refuse_topic(ORIGINS);
+    fleet.add_endpoint("b").await;
+    fleet.add_endpoint("b").await;
+    fleet.kill(&[0, 1, 2]).await;
+    fleet.wait_serving().await;
+    tokio::time::sleep(READY_WITHOUT_SHARES).await;
+    let streams = fleet.begin_streams(&[0, 1, 2], 2 * STREAMS);
+    tokio::time::sleep(UNDER_WAY).await;
+    fleet.kill(&[0, 1, 2]).await;
+    fleet.wait_serving().await;
+    let platform = fleet.platform.clone();
+    let returning = tokio::spawn(async move {
+        // The take-ups wait for the shares by then.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        platform.accept_topics();
+    });
+    check_versions(fleet.take_up(streams, &[2, 1, 0], 3).await.iter());
+    returning.await.unwrap();
+    tokio::time::sleep(SETTLED).await;
+    let callers = fleet.begin_short_streams(&[0, 1, 2], STREAMS, FEW_EVENTS).await;
+    assert_eq!(callers.len(), STREAMS, "streams begin once the shares are read");
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
     take_ups: Counter<u64>,
+    refused_starts: Counter<u64>,
     marker_conflicts: Counter<u64>,
     stream_origins: Gauge<u64>,
     mixed_services: Gauge<u64>,
@@ -89,6 +90,7 @@
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
             take_ups: meter.u64_counter("take_ups").build(),
+            refused_starts: meter.u64_counter("refused_starts").build(),
             marker_conflicts: meter.u64_counter("marker_conflicts").build(),
             stream_origins: meter.u64_gauge("stream_origins").build(),
             mixed_services: meter.u64_gauge("mixed_services").build(),
@@ -198,6 +200,11 @@
         self.take_ups.add(1, &[KeyValue::new("evidence", evidence)]);
     }
 
+    /// Counts a stream that does not begin, as this entry does not know by which shares streams begin.
+    pub(crate) fn note_start_refused(&self) {
+        self.refused_starts.add(1, &[]);
+    }
+
     /// Counts a marker of stream origins that was not written, as another entry had written since the last
     /// read.
     pub(crate) fn note_marker_conflict(&self) {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -28,7 +28,7 @@
 const READ_CHECK_PERIOD: Duration = Duration::from_millis(10);
 
 /// Maximum time for which an entry that has a configuration waits for the marker of stream origins
-/// before it serves requests without it.
+/// before it is ready without it. Streams that may be taken up again do not begin without it.
 const MAX_MARKER_DELAY: Duration = Duration::from_secs(2);
 
 /// Maximum number of entries that are asked in turn: the hub, the root hub, and the entry that reads the
@@ -36,7 +36,7 @@
 const MAX_HOPS: u32 = 3;
 
 /// Maximum time for which a take-up waits while the entries asked have not read the store yet, or
-/// do not answer.
+/// do not answer, and for which a stream waits for the shares by which it begins.
 const MAX_WAIT: Duration = Duration::from_millis(600);
 
 /// Maximum time for which a take-up waits until an endpoint of its version is listed. An entry that stood
@@ -61,8 +61,9 @@
         let listed = directory.entries().map(|entry| (&*entry.service, &*entry.software));
         let mut origins = self.origins();
         origins.step(wall_ms, store_age, listed);
-        if waited.is_some_and(|waited| waited >= MAX_MARKER_DELAY) && !origins.knows_marker() {
-            origins.note_marker_known();
+        let is_late = waited.is_some_and(|waited| waited >= MAX_MARKER_DELAY);
+        if is_late && !origins.knows_marker() && !origins.is_overdue() {
+            origins.note_overdue();
             log::warn!(
                 target: part::FOLLOW,
                 "serving without the marker of stream origins: neither the store nor a peer provides it"
@@ -165,13 +166,13 @@
         if request.route.kind != RouteKind::Stream {
             return Ok(());
         }
-        let account = request.account.as_deref();
         if request.last_event.is_none() {
             if request.route.resumable {
-                self.placement.version = self.begin_version(account);
+                self.placement.version = Some(self.begin_version().await?);
             }
             return Ok(());
         }
+        let account = request.account.as_deref();
         let stream = request.resumes.as_deref().map(|attempt| StreamKey::new(account, attempt));
         let services = request.route.services.iter().map(|(service, _)| service.clone());
         let question = OriginQuestion { stream, services: services.collect() };
@@ -237,20 +238,40 @@
         self.state.origins().version(version).cloned()
     }
 
-    /// Notes that the stream begins, and returns the version at which it must.
-    fn begin_version(&self, account: Option<&str>) -> Option<VersionKey> {
+    /// Notes that the stream begins, and returns the version at which it must. An entry that has just started
+    /// waits for the shares by which streams begin, for [`MAX_WAIT`] at most.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this entry does not know the shares: no entry could tell later which version began the stream.
+    async fn begin_version(&self) -> Result<VersionKey, DispatchFailure> {
+        let asked_at = clock::now();
+        loop {
+            if let Some(version) = self.try_begin() {
+                return Ok(version);
+            }
+            let has_endpoints = !self.state.listed_shares(&self.placement.service).is_empty();
+            if !has_endpoints || clock::now().since(asked_at) >= MAX_WAIT {
+                break;
+            }
+            sleep(ASK_AGAIN_PERIOD).await;
+        }
+        self.state.metrics.note_start_refused();
+        Err(self.version_failure(&DecisionReason::SharesUnknown))
+    }
+
+    /// Notes that the stream begins, and returns the version at which it must; `None` if this entry does not know
+    /// the shares by which streams begin.
+    fn try_begin(&self) -> Option<VersionKey> {
         let (state, service) = (&self.state, &*self.placement.service);
-        let stream = StreamKey::new(account, &self.request.id);
-        let is_followed = state.origins().begin_version(service, stream).is_some();
-        let listed = if is_followed { Vec::new() } else { state.listed_shares(service) };
+        let stream = StreamKey::new(self.request.account.as_deref(), &self.request.id);
         let until_ms = self.kept_until_ms();
         let mut origins = state.origins();
-        let (version, is_urgent) =
-            origins.begin_at(clock::now(), service, stream, until_ms, &listed);
+        let (version, is_urgent) = origins.begin_at(clock::now(), service, stream, until_ms)?;
         let record = origins.record(stream).filter(|_| is_urgent);
         drop(origins);
         state.origin_calls.pass_on(record.into_iter().collect());
-        version
+        Some(version)
     }
 
     /// Returns the wall-clock time in milliseconds until which records of the stream are kept.
@@ -300,6 +321,7 @@
     pub(crate) fn version_failure(&self, reason: &DecisionReason) -> DispatchFailure {
         let code = match reason {
             DecisionReason::VersionGone => "stream_version_gone",
+            DecisionReason::SharesUnknown => "stream_shares_unknown",
             _ => "stream_version_unknown",
         };
         self.failure(reason.to_string().into()).with_code(code)
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -459,9 +459,11 @@
             origins.merge_versions(&update.versions);
             // Shares the streams of the spans before, so that the next report has them.
             origins.merge_marker(update.marker.as_ref());
-            // A hub counts this entry among those that follow the marker.
-            if update.knows_marker && from_hub {
-                origins.note_marker_known();
+            if from_hub {
+                origins.note_counted();
+                if update.knows_marker {
+                    origins.note_marker_known();
+                }
             }
         }
         if from_hub {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -277,9 +277,13 @@
         self.set_clock_skew(skew_ms);
     }
 
-    /// Reports whether this entry knows what the fleet knows of suspects and of streams.
+    /// Reports whether this entry knows what the fleet knows of suspects and of streams, or has waited for
+    /// the latter long enough.
     pub(crate) fn knows_fleet(&self) -> bool {
-        self.view().knows_suspects && self.origins().knows_marker()
+        let origins = self.origins();
+        let knows_streams = origins.knows_marker() || origins.is_overdue();
+        drop(origins);
+        self.view().knows_suspects && knows_streams
     }
 
     /// Reports whether this host should receive new connections: it has a configuration and
--- a/crates/kernel/src/reason.rs
+++ b/crates/kernel/src/reason.rs
@@ -62,6 +62,8 @@
     VersionGone,
     /// It is not known which software version began the stream, and several may have.
     VersionUnknown,
+    /// The entry does not know by which shares of the software versions streams begin.
+    SharesUnknown,
     /// All endpoints that may run the request asked to get no requests for a time.
     EndpointsExcluded {
         /// Time until the first of them returns, in milliseconds.
@@ -181,6 +183,9 @@
             DecisionReason::VersionUnknown => {
                 write!(f, "it is not known which version began the stream")
             }
+            DecisionReason::SharesUnknown => {
+                write!(f, "it is not known by which shares of the versions streams begin")
+            }
             DecisionReason::EndpointsExcluded { millis } => {
                 write!(f, "all endpoints asked to be left alone, the first one for {millis} ms")
             }
--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -10,7 +10,12 @@
 //! of the service have of the slots ([`StreamOrigins::begin_at`]). The root hub writes the shares to
 //! the store, in a marker ([`OriginMarker`]) that holds the spans in which they were in force
 //! ([`ShareSpan`]), under the condition that it has read all that others wrote. So the store has one sequence of
-//! markers, and no start waits for it.
+//! markers.
+//!
+//! A stream begins by a span that the store has, or not at all: an entry that has just started learns the marker from
+//! the store or from its hub, which counts it from then on among the entries that follow it. An entry that cannot
+//! learn it begins no stream, as no later process could tell at which version such a stream began. Only these
+//! starts wait for the store.
 //!
 //! A span is *announced* first. Entries go on beginning streams by the span before, and share the streams that they
 //! began. Once all of them know the announcement ([`SpanAck`]) and the store has these records, or after a second, the span
@@ -37,8 +42,7 @@
 //!
 //! * its caller came back later than twice the patience that it stated before, and no entry has heard of it since;
 //! * or its caller names another attempt than those that brought it events;
-//! * or it began at an entry that served without the marker, which an entry waits for 2 s after its first
-//!   configuration, or that reached no root hub for half of [`STREAM_LIFE`];
+//! * or it began at an entry that reached no root hub for half of [`STREAM_LIFE`];
 //! * or an endpoint that states no start was back under its name with other software before the store listed it,
 //!   and the entry that sent the take-up had not noticed that it had ended;
 //! * or the store came back from an older copy, and all entries that knew of a span and of the streams that
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -143,7 +143,7 @@
     /// Notes the shares by which streams of `service` should begin.
     fn note_shares(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) {
         let Some(current) = self.current(service) else {
-            self.open(wall_ms, service, &[]);
+            // No stream begins before the first span is followed.
             self.open(wall_ms, service, shares);
             return;
         };
@@ -332,7 +332,7 @@
         }
     }
 
-    /// Returns the version at which `stream` must begin; `None` if it may begin at any.
+    /// Returns the version at which `stream` must begin; `None` if no span of `service` is followed.
     pub(super) fn begin_version(&self, service: &str, stream: StreamKey) -> Option<VersionKey> {
         self.current(service)?.version(stream)
     }
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -10,7 +10,7 @@
         ArchiveRecord, BatchError, EntryKey, MarkerInput, OriginAnswer, OriginArchive, OriginDelta,
         OriginEvidence, OriginLedger, OriginMarker, OriginQuestion, OriginRecord, STREAM_LIFE,
         ServedVersion, SpanAck, SpanAcks, StreamKey, VersionHistory, VersionKey, VersionNews,
-        VersionShare, origin_archive::ArchivedNews, version_share::pick,
+        origin_archive::ArchivedNews,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -38,6 +38,10 @@
     acks: SpanAcks,
     /// Whether the marker was read from the store or from another entry that knows it.
     knows_marker: bool,
+    /// Whether there is no waiting for the marker any longer before requests of other kinds are served.
+    is_overdue: bool,
+    /// Whether a hub counts this entry among those that follow the marker, or this entry writes it.
+    is_counted: bool,
     /// Services whose streams are shared with other entries.
     shared_services: BTreeSet<Box<str>>,
     /// Whether the copy of the store is so old that all streams are shared.
@@ -56,6 +60,8 @@
             marker: OriginMarker::default(),
             acks: SpanAcks::new(EntryKey::new(name), incarnation),
             knows_marker: false,
+            is_overdue: false,
+            is_counted: false,
             shared_services: BTreeSet::new(),
             is_stale: false,
             tidied_at_ms: 0,
@@ -124,7 +130,7 @@
     }
 
     /// Notes that `stream` begins, and returns the version at which it must, which follows from its identifier by
-    /// the shares that the fleet follows, or, if it follows none yet, by those that are `listed`.
+    /// the shares that the fleet follows; `None` if this entry does not know these, so that no stream may begin.
     ///
     /// The record is kept until the wall-clock time `until_ms`. The second value tells whether other entries
     /// must have the record at once.
@@ -134,22 +140,19 @@
         service: &str,
         stream: StreamKey,
         until_ms: u64,
-        listed: &[VersionShare],
-    ) -> (Option<VersionKey>, bool) {
-        let version = self.marker.begin_version(service, stream);
-        let Some(version) = version.or_else(|| pick(service, listed, stream)) else {
-            return (None, false);
-        };
+    ) -> Option<(VersionKey, bool)> {
+        let version = self.begin_version(service, stream)?;
         let needs_record = self.marker.needs_record(service, stream);
         let shares = needs_record || self.is_stale || self.shared_services.contains(service);
         self.note(now, stream, Some(version), until_ms, OriginEvidence::Own, shares);
-        (Some(version), needs_record)
+        Some((version, needs_record))
     }
 
-    /// Returns the version at which `stream` must begin, which follows from its identifier; `None` if it
-    /// may begin at any.
+    /// Returns the version at which `stream` must begin, which follows from its identifier; `None` if no
+    /// stream of `service` may begin.
     pub fn begin_version(&self, service: &str, stream: StreamKey) -> Option<VersionKey> {
-        self.marker.begin_version(service, stream)
+        // A span ends once all entries that are counted follow a later one.
+        self.is_counted.then(|| self.marker.begin_version(service, stream)).flatten()
     }
 
     /// Returns the time at which the marker that this entry knows was written, 0 for none.
@@ -211,11 +214,26 @@
         self.knows_marker
     }
 
-    /// Notes that the marker is known, or that there is no waiting for it any longer.
+    /// Notes that this entry knows the marker that the fleet knows.
     pub fn note_marker_known(&mut self) {
         self.knows_marker = true;
     }
 
+    /// Reports whether there is no waiting for the marker any longer before requests of other kinds are served.
+    pub fn is_overdue(&self) -> bool {
+        self.is_overdue
+    }
+
+    /// Notes that there is no waiting for the marker any longer before requests of other kinds are served.
+    pub fn note_overdue(&mut self) {
+        self.is_overdue = true;
+    }
+
+    /// Notes that a hub counts this entry among those that follow the marker.
+    pub fn note_counted(&mut self) {
+        self.is_counted = true;
+    }
+
     /// Merges a marker that another entry knows, unless none can have written it.
     pub fn merge_marker(&mut self, marker: Option<&OriginMarker>) {
         if let Some(marker) = marker.filter(|marker| marker.is_readable()) {
@@ -398,6 +416,7 @@
     pub fn note_read(&mut self, now: TimePoint) {
         self.archive.note_read(now);
         self.knows_marker = true;
+        self.is_counted = true;
         self.update_sharing();
     }
 
--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -40,6 +40,16 @@
     check(plan, seeds());
 }
 
+/// Entries that start in such an outage know no shares.
+#[test]
+fn no_stream_changes_versions_while_the_records_of_streams_cannot_be_read() {
+    for entries in [1, 4, 9] {
+        let troubled = OriginPlan::troubled(entries);
+        let plan = OriginPlan { origin_outages: 12, total_kills: 12, ..troubled };
+        check(plan, seeds());
+    }
+}
+
 #[test]
 fn no_stream_changes_versions_while_versions_change_all_the_time() {
     let plan = OriginPlan { version_changes: 60, ..OriginPlan::troubled(5) };
--- a/crates/kernel/tests/origin_simulation/origin_plan.rs
+++ b/crates/kernel/tests/origin_simulation/origin_plan.rs
@@ -24,6 +24,8 @@
     /// Outages of the store, and its returns from an older copy.
     pub outages: u64,
     pub older_copies: u64,
+    /// Outages of the part of the store that has the records of streams.
+    pub origin_outages: u64,
     /// Exchanges and writes whose answer is lost, in a thousand, and reports that come again later.
     pub lost_answers: u64,
     pub repeated_reports: u64,
@@ -47,6 +49,7 @@
             freezes: 0,
             outages: 0,
             older_copies: 0,
+            origin_outages: 0,
             lost_answers: 0,
             repeated_reports: 0,
         }
