Entries that start before their hub follow it once it has started

An entry that called its hub some milliseconds before this one had started was refused, and left it out for 3 s as one that is lost.

Cause: a refused connection counted as a failure of an entry that had answered before.

Change: an entry that refused a connection and has not answered yet is asked again at each exchange, until it is forgotten after 6 s. One that answered before is left out as it was.

--- a/crates/daemon/tests/stream_version_facts.rs
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -191,6 +191,24 @@
     assert!(2 * went_on >= count, "{went_on} of {count} streams went on");
 }
 
+/// Guards against two root hubs for seconds, each of which counts the entries of the other as missing.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_start_before_their_hub_follow_it_within_a_second() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    (0..3).for_each(|entry| fleet.entries[entry].kill());
+    fleet.entries[1].restart();
+    fleet.entries[2].restart();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.entries[0].restart();
+    fleet.wait_serving().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for entry in &fleet.entries[1..] {
+        let log = std::fs::read_to_string(entry.log()).unwrap();
+        let hub = log.lines().rfind(|line| line.contains("hub changed")).unwrap();
+        assert!(!hub.contains("\"hub\":\"none\""), "{hub}");
+    }
+}
+
 /// Guards against streams that begin by shares which no entry has read, and of which no later process knows.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_that_began_while_the_shares_could_not_be_read_are_not_joined() {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -118,6 +118,10 @@
                 state.note_clocks();
             }
         }
+        let starting = state.view().roster.starting(clock::now());
+        if let Some(address) = starting {
+            announce(&state, &mut clients, address).await;
+        }
         let source = state.view().follower.source(clock::now());
         if let Some(address) = source {
             call_source(&state, &mut clients, address).await;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,7 +3,7 @@
 //! Entries exchange store records, load and usage shares through hubs; the kernel's `hub` module
 //! describes how the hubs are chosen.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -365,8 +365,11 @@
                 }
                 Some(update)
             }
-            Err(reason) => {
-                state.roster().note_failure(now, address);
+            Err(PeerFault { reason, is_refusal }) => {
+                match is_refusal {
+                    true => state.roster().note_refusal(now, address),
+                    false => state.roster().note_failure(now, address),
+                }
                 self.open.remove(&address);
                 if !self.lost.contains(&address) {
                     self.lost.push(address);
@@ -381,18 +384,39 @@
         &mut self,
         address: SocketAddr,
         report: EntryReport,
-    ) -> Result<EntryUpdate, String> {
-        let late = || "no answer in time".to_owned();
+    ) -> Result<EntryUpdate, PeerFault> {
+        let late = || PeerFault::new("no answer in time");
         let connection = match self.open.get(&address) {
             Some(connection) => connection,
             None => {
                 let connected = timeout(PEER_SILENCE, connect(address)).await;
-                self.open.entry(address).or_insert(connected.map_err(|_| late())??)
+                let connected = connected.map_err(|_| late())?.map_err(PeerFault::from)?;
+                self.open.entry(address).or_insert(connected)
             }
         };
         let call = connection.client.exchange(context::current(), report);
         let answer = connection.meter.until_silent(PEER_SILENCE, call).await.ok_or_else(late)?;
-        answer.map_err(|error| error.to_string())
+        answer.map_err(|error| PeerFault::new(&error.to_string()))
+    }
+}
+
+/// Why a call to another entry failed.
+struct PeerFault {
+    reason: String,
+    /// Whether the entry refused the connection.
+    is_refusal: bool,
+}
+
+impl PeerFault {
+    fn new(reason: &str) -> PeerFault {
+        PeerFault { reason: reason.to_owned(), is_refusal: false }
+    }
+}
+
+impl From<io::Error> for PeerFault {
+    fn from(error: io::Error) -> PeerFault {
+        let is_refusal = error.kind() == io::ErrorKind::ConnectionRefused;
+        PeerFault { reason: error.to_string(), is_refusal }
     }
 }
 
@@ -415,10 +439,9 @@
 /// # Errors
 ///
 /// Fails if the entry cannot be reached.
-pub(crate) async fn connect(address: SocketAddr) -> Result<PeerConnection, String> {
-    let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-    connection::configure_socket(&stream, connection::SERVER_TIMEOUT)
-        .map_err(|error| error.to_string())?;
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<PeerConnection> {
+    let stream = TcpStream::connect(address).await?;
+    connection::configure_socket(&stream, connection::SERVER_TIMEOUT)?;
     let meter = ByteMeter::new();
     let framed = frame_codec().new_framed(CountedStream::new(stream, meter.clone()));
     let transport = serde_transport::new(framed, Bincode::default());
--- a/crates/kernel/src/hub/roster.rs
+++ b/crates/kernel/src/hub/roster.rs
@@ -53,6 +53,17 @@
     Peer(SocketAddr),
 }
 
+/// Whether an entry is known to have started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntryStart {
+    /// No call was made to it.
+    Unknown,
+    /// It refused a connection, and has not answered before.
+    Awaited,
+    /// It has answered.
+    Seen,
+}
+
 #[derive(Clone, Debug)]
 struct RosterRow {
     /// Failure domain, if known.
@@ -60,6 +71,7 @@
     /// Time of the last contact, direct or reported by another entry.
     last_heard: TimePoint,
     quarantined_until: TimePoint,
+    start: EntryStart,
 }
 
 impl RosterRow {
@@ -122,8 +134,12 @@
             return;
         }
         let last_heard = now - Duration::from_millis(entry.age_ms.into());
-        let fresh = RosterRow { domain: None, last_heard, quarantined_until: TimePoint::ZERO };
-        let row = self.rows.entry(entry.address).or_insert(fresh);
+        let row = self.rows.entry(entry.address).or_insert(RosterRow {
+            domain: None,
+            last_heard,
+            quarantined_until: TimePoint::ZERO,
+            start: EntryStart::Unknown,
+        });
         row.last_heard = row.last_heard.max(last_heard);
         if let Some(domain) = &entry.domain {
             row.domain = Some(domain.clone());
@@ -135,6 +151,7 @@
         self.note_heard(now, address);
         if let Some(row) = self.rows.get_mut(&address) {
             row.quarantined_until = TimePoint::ZERO;
+            row.start = EntryStart::Seen;
         }
     }
 
@@ -145,6 +162,21 @@
         }
     }
 
+    /// Notes that the entry at `address` refused a connection, and quarantines it.
+    pub fn note_refusal(&mut self, now: TimePoint, address: SocketAddr) {
+        self.note_failure(now, address);
+        if let Some(row) = self.rows.get_mut(&address).filter(|row| row.start != EntryStart::Seen) {
+            row.start = EntryStart::Awaited;
+        }
+    }
+
+    /// Returns the entry with the lowest address that may be starting, to ask it again before its quarantine
+    /// ends: entries that start together do not start at the same moment.
+    pub fn starting(&self, now: TimePoint) -> Option<SocketAddr> {
+        let is_due = |row: &RosterRow| row.start == EntryStart::Awaited && row.is_fresh(now);
+        self.rows.iter().find(|(_, row)| is_due(row)).map(|(address, _)| *address)
+    }
+
     /// Returns the hub of this entry.
     ///
     /// The hub is the reachable entry of the own failure domain with the lowest address. If that is
--- a/crates/kernel/tests/hub.rs
+++ b/crates/kernel/tests/hub.rs
@@ -73,6 +73,28 @@
     expect(&roster, later, Some(3));
 }
 
+/// Guards against two root hubs for seconds where entries start some milliseconds before their hub.
+#[test]
+fn an_entry_that_refused_the_first_call_is_asked_again_until_it_has_started() {
+    let mut roster = roster(3, &[1, 2]);
+    assert_eq!(roster.starting(NOW), None);
+    roster.note_answer(NOW, address(2));
+    roster.note_refusal(NOW, address(1));
+    assert_eq!(roster.hub(NOW), HubChoice::Peer(address(2)));
+    assert_eq!(roster.starting(NOW), Some(address(1)));
+    roster.note_answer(NOW, address(1));
+    assert_eq!(roster.hub(NOW), HubChoice::Peer(address(1)));
+    // One that has answered before has ended.
+    roster.note_refusal(NOW, address(1));
+    assert_eq!(roster.starting(NOW), None);
+    assert_eq!(roster.hub(NOW), HubChoice::Peer(address(2)));
+    let later = NOW + Duration::from_secs(6);
+    let mut roster = HubRoster::new(address(3), "a");
+    roster.note_heard(NOW, address(1));
+    roster.note_refusal(NOW, address(1));
+    assert_eq!(roster.starting(later), None);
+}
+
 #[test]
 fn the_first_entry_is_asked_until_an_entry_of_the_own_domain_is_known() {
     let mut roster = HubRoster::new(address(4), "b");
