Streams wait for the new shares where the old version has left

What was seen: streams_go_on_through_releases_in_which_all_old_endpoints_leave_at_once failed once in a whole run of the suite: all its streams were refused within 0.1 s, "0 streams were taken up".

Cause: as all endpoints of a version leave at once, a stream still begins by the shares before until the new ones are followed. Its version takes no new work, so it was refused at once, although endpoints of the new one were listed.

The search ends at the first endpoint of the version.

--- a/crates/daemon/tests/stream_version_facts.rs
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -140,6 +140,31 @@
     assert_eq!(fleet.platform.unconditional_markers(), 0);
 }
 
+/// Guards against starts that are refused until the shares of the new version are followed.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_begin_while_all_old_endpoints_leave_at_once() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    tokio::time::sleep(SETTLED).await;
+    fleet.add_endpoint("b").await;
+    fleet.add_endpoint("b").await;
+    fleet.drain("a");
+    let (mut begun, mut starts) = (0, Vec::new());
+    for round in 0..30 {
+        let address = fleet.entries[round % 3].callers();
+        starts.push(tokio::spawn(async move {
+            let mut caller = StreamCaller::new().with_events(FEW_EVENTS);
+            caller.call(address).await;
+            caller
+        }));
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    let count = starts.len();
+    for start in starts {
+        begun += usize::from(!start.await.unwrap().versions.is_empty());
+    }
+    assert_eq!(begun, count, "{begun} of {count} streams began");
+}
+
 /// Guards against a record that expires although its caller keeps asking.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_take_ups_are_refused_keeps_its_version() {
--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -38,7 +38,7 @@
     /// Returns what the next marker says of the fleet; no shares if the list of endpoints may be old.
     fn marker_input(&self, era: u64) -> MarkerInput {
         let is_current = self.store_age() <= MAX_LIST_AGE;
-        let shares = if is_current { self.shares(|_| true) } else { BTreeMap::new() };
+        let shares = if is_current { self.shares() } else { BTreeMap::new() };
         MarkerInput { era, shares }
     }
 
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -127,24 +127,22 @@
         self.origin_calls.pass_on(records);
     }
 
-    /// Returns the slots of the listed endpoints of `service` that take new work, by version.
-    fn listed_shares(&self, service: &str) -> Vec<VersionShare> {
-        self.shares(|listed| listed == service).remove(service).unwrap_or_default()
+    /// Reports whether a listed endpoint that `is_wanted` selects takes new work.
+    fn is_open(&self, is_wanted: impl Fn(&EndpointEntry) -> bool) -> bool {
+        let evacuated = self.evacuations().domains().clone();
+        let takes_work =
+            |entry: &EndpointEntry| !entry.leaving && !evacuated.contains(&entry.domain);
+        self.directory().entries().any(|entry| is_wanted(entry) && takes_work(entry))
     }
 
-    /// Returns the slots of the listed endpoints that take new work, by version, of the services that
-    /// `is_wanted` selects.
-    pub(crate) fn shares(
-        &self,
-        is_wanted: impl Fn(&str) -> bool,
-    ) -> BTreeMap<Box<str>, Vec<VersionShare>> {
+    /// Returns the slots of the listed endpoints that take new work, by service and version.
+    pub(crate) fn shares(&self) -> BTreeMap<Box<str>, Vec<VersionShare>> {
         let mut slots: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>> = BTreeMap::new();
         let evacuated = self.evacuations().domains().clone();
         let directory = self.directory();
         let takes_work =
             |entry: &&EndpointEntry| !entry.leaving && !evacuated.contains(&entry.domain);
-        let open = directory.entries().filter(takes_work);
-        for entry in open.filter(|entry| is_wanted(&entry.service)) {
+        for entry in directory.entries().filter(takes_work) {
             let of_service = slots.entry(entry.service.clone()).or_default();
             let of_version = of_service.entry(entry.software.clone()).or_default();
             *of_version = of_version.saturating_add(entry.slots);
@@ -239,25 +237,38 @@
     }
 
     /// Notes that the stream begins, and returns the version at which it must. An entry that has just started
-    /// waits for the shares by which streams begin, for [`MAX_WAIT`] at most.
+    /// waits for the shares by which streams begin, and one whose version has left for those that are to follow,
+    /// for [`MAX_WAIT`] at most.
     ///
     /// # Errors
     ///
     /// Fails if this entry does not know the shares: no entry could tell later which version began the stream.
     async fn begin_version(&self) -> Result<VersionKey, DispatchFailure> {
         let asked_at = clock::now();
-        loop {
-            if let Some(version) = self.try_begin() {
-                return Ok(version);
-            }
-            let has_endpoints = !self.state.listed_shares(&self.placement.service).is_empty();
-            if !has_endpoints || clock::now().since(asked_at) >= MAX_WAIT {
-                break;
-            }
+        while self.awaits_shares() && clock::now().since(asked_at) < MAX_WAIT {
             sleep(ASK_AGAIN_PERIOD).await;
         }
-        self.state.metrics.note_start_refused();
-        Err(self.version_failure(&DecisionReason::SharesUnknown))
+        self.try_begin().ok_or_else(|| {
+            self.state.metrics.note_start_refused();
+            self.version_failure(&DecisionReason::SharesUnknown)
+        })
+    }
+
+    /// Reports whether other shares will let the stream begin: endpoints take new work, but it is not known at
+    /// which version the stream begins, or those of this version do not.
+    fn awaits_shares(&self) -> bool {
+        let service = &*self.placement.service;
+        let stream = StreamKey::new(self.request.account.as_deref(), &self.request.id);
+        let software = {
+            let origins = self.state.origins();
+            let version = origins.begin_version(service, stream);
+            let served = version.and_then(|version| origins.version(version));
+            served.map(|served| served.software.clone())
+        };
+        let begins = software.is_some_and(|software| {
+            self.state.is_open(|entry| *entry.service == *service && entry.software == software)
+        });
+        !begins && self.state.is_open(|entry| *entry.service == *service)
     }
 
     /// Notes that the stream begins, and returns the version at which it must; `None` if this entry does not know
