No version follows from a history that the store has lost a part of

A version had joined, its only endpoint was lost, all entries were killed, and the store came back from a copy from before the version.

Cause: after an older copy the marker opened a span of "any version", and "any" was then taken for the only version that is listed or that the history names. Both lack what the copy lacks.

Change: "any version" means any. After a loss the writer of the marker tells whether it knew all spans: it read the store until the loss, and all entries reported to it. If so the span of "any" ends once all present entries know a later one; if not, the entries that the store named count as lost too, and only streams with a record go on for 600 s. A marker of an earlier era answers nothing. A marker that cannot be read, a service first listed after the loss, and spans that were announced before it are treated alike. The list of endpoints has no part in this any more, so questions do not ask for it.

--- a/crates/daemon/tests/stream_version_facts.rs
+++ b/crates/daemon/tests/stream_version_facts.rs
@@ -261,3 +261,23 @@
     let callers = fleet.begin_short_streams(&[0, 1, 2], STREAMS, FEW_EVENTS).await;
     assert_eq!(callers.len(), STREAMS, "streams begin once the shares are read");
 }
+
+/// Guards against a history that is taken for whole after the store lost a part of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_version_that_an_older_copy_lacks_are_not_joined() {
+    let mut fleet = VersionFleet::start(DAEMON, 3, &["a", "a"]).await;
+    tokio::time::sleep(SETTLED).await;
+    let copy = fleet.platform.copy();
+    fleet.add_endpoint("b").await;
+    tokio::time::sleep(SETTLED).await;
+    let streams = fleet.begin_streams(&[0, 1, 2], STREAMS);
+    tokio::time::sleep(UNDER_WAY).await;
+    fleet.end_version("b");
+    (0..3).for_each(|entry| fleet.entries[entry].kill());
+    fleet.platform.restore(&copy);
+    (0..3).for_each(|entry| fleet.entries[entry].restart());
+    fleet.wait_serving().await;
+    let callers = fleet.take_up(streams, &[2, 1, 0], 3).await;
+    assert!(callers.len() >= STREAMS / 2, "only {} streams were taken up", callers.len());
+    check_versions(callers.iter());
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
     metrics::{AsyncInstrument, Counter, Gauge, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pimentorock_kernel::stream_origin::StreamOrigins;
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::{logs, state_lock::recovered_locks};
@@ -34,6 +35,7 @@
     refused_starts: Counter<u64>,
     marker_conflicts: Counter<u64>,
     stream_origins: Gauge<u64>,
+    unknown_services: Gauge<u64>,
     mixed_services: Gauge<u64>,
     refused_suspects: Counter<u64>,
     refused_parts: Counter<u64>,
@@ -93,6 +95,7 @@
             refused_starts: meter.u64_counter("refused_starts").build(),
             marker_conflicts: meter.u64_counter("marker_conflicts").build(),
             stream_origins: meter.u64_gauge("stream_origins").build(),
+            unknown_services: meter.u64_gauge("unknown_services").build(),
             mixed_services: meter.u64_gauge("mixed_services").build(),
             refused_suspects: meter.u64_counter("refused_suspects").build(),
             refused_parts: meter.u64_counter("refused_prompt_parts").build(),
@@ -211,9 +214,12 @@
         self.marker_conflicts.add(1, &[]);
     }
 
-    /// Sets the number of streams whose versions are known, and of services with several versions.
-    pub(crate) fn note_origins(&self, streams: usize, mixed_services: usize) {
-        self.stream_origins.record(streams as u64, &[]);
+    /// Sets the number of streams whose versions are known, of services with several versions, and of
+    /// services whose streams without a record may have begun at any version.
+    pub(crate) fn note_origins(&self, origins: &StreamOrigins) {
+        self.stream_origins.record(origins.len() as u64, &[]);
+        self.unknown_services.record(origins.unknown_services() as u64, &[]);
+        let mixed_services = origins.mixed_services().len();
         self.mixed_services.record(mixed_services as u64, &[]);
     }
 
--- a/crates/gateway/src/origin_calls.rs
+++ b/crates/gateway/src/origin_calls.rs
@@ -11,7 +11,6 @@
 #[derive(Debug)]
 pub(crate) struct OriginCalls {
     read: Notify,
-    list: Notify,
     write: Notify,
     records: Notify,
     /// Time at which the last complete read of the store was sent.
@@ -25,7 +24,6 @@
     pub(crate) fn new() -> OriginCalls {
         OriginCalls {
             read: Notify::new(),
-            list: Notify::new(),
             write: Notify::new(),
             records: Notify::new(),
             read_at: watch::Sender::new(TimePoint::ZERO),
@@ -52,16 +50,6 @@
         self.read_at.send_replace(sent_at);
     }
 
-    /// Asks for a read of the endpoints.
-    pub(crate) fn want_list(&self) {
-        self.list.notify_one();
-    }
-
-    /// Waits until a read of the endpoints is wanted.
-    pub(crate) async fn list_wanted(&self) {
-        self.list.notified().await;
-    }
-
     /// Waits until a read is wanted.
     pub(crate) async fn read_wanted(&self) {
         self.read.notified().await;
--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -105,6 +105,7 @@
             }
             Ok(()) => {}
             Err(error) => {
+                state.origins().note_failed_read(clock::now());
                 log::warn!(
                     target: part::FOLLOW, error = error.to_string();
                     "stream origins not exchanged with the store"
@@ -274,12 +275,13 @@
         let open: Vec<_> = spans.iter().filter(|span| span.until_ms.is_none()).collect();
         let announced = open.iter().filter(|span| span.is_announced).count();
         let lacking = spans.iter().filter(|span| span.lacks_records).count();
+        let unknown = marker.unknown_services().contains(&service);
         let shares = open.last().map(|span| span.shares.as_slice()).unwrap_or_default();
         let shares = shares.iter().map(|share| format!("{}:{}", share.software, share.slots));
         log::info!(
             target: part::FOLLOW,
             service = &*service, spans = spans.len(), open = open.len(), announced = announced,
-            lacking_records = lacking, lost_ms = marker.lost_ms, entries = marker.entries.len(), era = marker.era, shares = shares.collect::<Vec<_>>().join(",");
+            unknown = unknown, lacking_records = lacking, lost_ms = marker.lost_ms, entries = marker.entries.len(), era = marker.era, shares = shares.collect::<Vec<_>>().join(",");
             "stream shares written"
         );
     }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -69,7 +69,7 @@
                 "serving without the marker of stream origins: neither the store nor a peer provides it"
             );
         }
-        self.metrics.note_origins(origins.len(), origins.mixed_services().len());
+        self.metrics.note_origins(&origins);
     }
 
     /// Returns the version that began a stream, after asking `hops` further entries at most.
@@ -88,9 +88,8 @@
             if clock::now().since(asked_at) >= MAX_READ_WAIT {
                 break;
             }
-            // What another entry wrote since, or the endpoints, were not read yet.
+            // What another entry wrote since was not read yet, or the store has a marker of an earlier era.
             self.origin_calls.want_read();
-            self.origin_calls.want_list();
             sleep(READ_CHECK_PERIOD).await;
         }
         let next = match self.next_to_ask() {
@@ -107,8 +106,7 @@
 
     /// Returns what this entry knows of a stream, for a question that came at `asked_at`.
     fn find_own_origin(&self, asked_at: TimePoint, question: &OriginQuestion) -> OriginAnswer {
-        let listed_at = self.view().endpoints_current_at();
-        self.origins().find(clock::now(), asked_at, listed_at, question)
+        self.origins().find(clock::now(), asked_at, question)
     }
 
     /// Returns the entry that may know more of streams: the hub, or for the root hub the entry that
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -250,7 +250,7 @@
         self.view().configs.forget_newer();
         self.archive().forget();
         self.part_archive().forget();
-        self.origins().note_loss();
+        self.origins().note_era(clock::now(), era);
         self.metrics.note_era(era);
         log::info!(
             target: part::FOLLOW, era = era, before = before, source = source;
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -73,10 +73,8 @@
     pub(crate) async fn run(mut self, stop: CancellationToken) {
         while !stop.is_cancelled() {
             let pause = self.step().await;
-            let is_listed = self.topic == StoreTopic::Endpoints;
             tokio::select! {
                 () = stop.cancelled() => return,
-                () = self.state.origin_calls.list_wanted(), if is_listed => {}
                 () = sleep(pause) => {}
             }
         }
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -322,7 +322,7 @@
                 services: vec!["app".into()],
             };
             let origins = state.origins();
-            let _ = origins.find(clock::now(), clock::now(), clock::now(), &question);
+            let _ = origins.find(clock::now(), clock::now(), &question);
             drop(origins);
             let request = PlacedRequest { service: "app".into(), ..PlacedRequest::default() };
             let _ = state.table().choose(clock::now(), &request, &[]);
--- a/crates/kernel/src/stream_origin/mod.rs
+++ b/crates/kernel/src/stream_origin/mod.rs
@@ -36,6 +36,13 @@
 //! version follows if all of them say the same of its identifier, and is derived if an entry was lost within
 //! [`STREAM_LIFE`]; otherwise nobody began such a stream. What callers say of their patience plays no part.
 //!
+//! A store that comes back from an older copy may have lost spans. What the entries know of the history is whole only
+//! if the entry that writes the next marker knew all spans before the loss, or if all entries that began streams by others
+//! report to it. Until that is certain, streams without a record may have begun at any version, also at one of
+//! which nothing is known any more: no version follows ([`ShareSpan::is_witnessed`]). If it cannot become certain, that lasts for
+//! [`STREAM_LIFE`], and the streams that begin meanwhile have records. Nothing is answered without a record
+//! before the marker of the present era is written. A marker that cannot be read counts as lost.
+//!
 //! # Bound
 //!
 //! A stream goes on at another version than the one that began it only if no record of it is found, since
@@ -45,15 +52,15 @@
 //! * or it began at an entry that reached no root hub for half of [`STREAM_LIFE`];
 //! * or an endpoint that states no start was back under its name with other software before the store listed it,
 //!   and the entry that sent the take-up had not noticed that it had ended;
-//! * or the store came back from an older copy, and all entries that knew of a span and of the streams that
-//!   began by it have died.
+//! * or the store came back from an older copy within a second of a write of one entry that others did not read, and this
+//!   entry died with it.
 //!
 //! Records merge by a join: one that says otherwise than another makes the stream unknown. Markers merge to one
 //! with the spans of both. So messages that are late, doubled or out of order, entries that stand still or are out
 //! of touch, and views that differ cost take-ups, but join nothing.
 //!
-//! A take-up is refused although its version serves if its record died with the processes that had it and the
-//! spans disagree on it, or if the store cannot be read.
+//! A take-up is refused although its version serves if its record died with the processes that had it, and the
+//! spans disagree on it or the store has lost spans; or if the store cannot be read.
 //!
 //! # Alternatives
 //!
--- a/crates/kernel/src/stream_origin/origin_archive.rs
+++ b/crates/kernel/src/stream_origin/origin_archive.rs
@@ -76,6 +76,8 @@
     versions: BTreeMap<VersionKey, u64>,
     /// The marker that the store has.
     marker: Option<OriginMarker>,
+    /// Whether the store has a marker that cannot be read, or that another writer has removed.
+    is_marker_unreadable: bool,
     /// Number of batches that this entry wrote.
     writes: u64,
     pending: PendingWrite,
@@ -104,6 +106,11 @@
 
     /// Notes a record that the store has, and returns what it says.
     pub(super) fn take(&mut self, key: &str, value: &[u8]) -> Result<ArchivedNews, BatchError> {
+        if key == MARKER_KEY {
+            self.marker = serde_json::from_slice(value).ok().filter(OriginMarker::is_readable);
+            self.is_marker_unreadable = self.marker.is_none();
+            return self.marker.clone().map(ArchivedNews::Marker).ok_or(BatchError);
+        }
         if value.is_empty() {
             self.batches.remove(key);
             return Ok(ArchivedNews::Nothing);
@@ -122,20 +129,17 @@
             self.versions.insert(version, served.until_ms);
             return Ok(ArchivedNews::Version(served));
         }
-        if key == MARKER_KEY {
-            let marker: OriginMarker = serde_json::from_slice(value).map_err(|_| BatchError)?;
-            if !marker.is_readable() {
-                return Err(BatchError);
-            }
-            self.marker = Some(marker.clone());
-            return Ok(ArchivedNews::Marker(marker));
-        }
         Ok(ArchivedNews::Nothing)
     }
 
-    /// Returns the time at which the marker in the store was written, 0 for none.
-    pub(super) fn marker_ms(&self) -> u64 {
-        self.marker.as_ref().map_or(0, |marker| marker.written_ms)
+    /// Returns the marker that the store has.
+    pub(super) fn marker(&self) -> Option<&OriginMarker> {
+        self.marker.as_ref()
+    }
+
+    /// Reports whether the store has a marker that cannot be read, or that another writer has removed.
+    pub(super) fn is_marker_unreadable(&self) -> bool {
+        self.is_marker_unreadable
     }
 
     /// Reports whether one write holds all records that the store lacks.
@@ -200,6 +204,7 @@
         self.versions.extend(pending.versions);
         if pending.marker.is_some() {
             self.marker = pending.marker.clone();
+            self.is_marker_unreadable = false;
         }
         pending.marker
     }
--- a/crates/kernel/src/stream_origin/origin_marker.rs
+++ b/crates/kernel/src/stream_origin/origin_marker.rs
@@ -32,6 +32,17 @@
     pub shares: BTreeMap<Box<str>, Vec<VersionShare>>,
 }
 
+/// What the entry that writes a marker knows.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct WriterKnowledge {
+    /// Whether the store has, or gets with the marker, all records that the entries have reported.
+    pub(super) is_complete: bool,
+    /// Whether this entry knew all spans when the store came back from an older copy.
+    pub(super) is_witness: bool,
+    /// Whether the store has a marker that cannot be read.
+    pub(super) is_unreadable: bool,
+}
+
 /// An entry that reports, or did so lately.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MarkedEntry {
@@ -58,6 +69,10 @@
     /// Wall-clock time in milliseconds at which the process of an entry was last known to have ended; 0 if
     /// none has while a caller may have waited for its streams.
     pub lost_ms: u64,
+    /// Wall-clock time in milliseconds until which callers may wait for streams of services whose spans the
+    /// store has lost; 0 if there are none.
+    #[serde(default)]
+    pub unknown_until_ms: u64,
     /// Spans of all services, the newest of each service last.
     pub spans: Vec<ShareSpan>,
 }
@@ -70,7 +85,11 @@
             .iter()
             .flat_map(|span| [span.since_ms, span.followed_ms, span.until_ms.unwrap_or_default()]);
         let of_entries = self.entries.values().map(|entry| entry.until_ms);
-        let mut times = of_spans.chain(of_entries).chain([self.written_ms, self.lost_ms]);
+        let mut times = of_spans.chain(of_entries).chain([
+            self.written_ms,
+            self.lost_ms,
+            self.unknown_until_ms,
+        ]);
         self.era <= MAX_ERA && times.all(|time| time <= MAX_WALL_MS)
     }
 
@@ -85,6 +104,7 @@
         self.written_ms = self.written_ms.max(other.written_ms);
         self.era = self.era.max(other.era);
         self.lost_ms = self.lost_ms.max(other.lost_ms);
+        self.unknown_until_ms = self.unknown_until_ms.max(other.unknown_until_ms);
         for (entry, marked) in &other.entries {
             let known = self.entries.entry(*entry).or_insert(*marked);
             known.until_ms = known.until_ms.max(marked.until_ms);
@@ -108,50 +128,71 @@
         self.forget(self.written_ms);
     }
 
-    /// Returns what is to be written at `wall_ms` in place of this marker, given what the entries know.
-    ///
-    /// `is_complete` tells whether the store has, or gets with the marker, all records that the entries have
-    /// reported.
+    /// Returns what is to be written at `wall_ms` in place of this marker, given what the entries and the writer
+    /// know.
     pub(super) fn next(
         &self,
         wall_ms: u64,
         ack: &SpanAck,
         input: &MarkerInput,
-        is_complete: bool,
+        knowledge: WriterKnowledge,
     ) -> OriginMarker {
         let mut next = self.clone();
-        next.note_entries(wall_ms, ack);
-        if next.era < input.era {
-            // A store that came back from an older copy may have lost spans.
-            let services = next.services();
-            services.iter().for_each(|service| next.reopen(wall_ms, service));
-            next.era = input.era;
+        if next.era < input.era || knowledge.is_unreadable {
+            next.note_loss(wall_ms, knowledge.is_witness && !knowledge.is_unreadable);
+            next.era = next.era.max(input.era);
         }
-        for (service, shares) in &input.shares {
+        next.note_entries(wall_ms, ack);
+        for (service, shares) in input.shares.iter().filter(|(_, shares)| !shares.is_empty()) {
             next.note_shares(wall_ms, service, shares);
         }
-        if is_complete {
+        if knowledge.is_complete {
             next.follow(wall_ms, ack.known_ms);
-            if next.entries.values().all(|entry| !entry.is_missing) {
-                next.end_spans(wall_ms, ack.known_ms);
-            }
+            next.end_spans(wall_ms, ack.known_ms);
         }
         next.forget(wall_ms);
         next
     }
 
+    /// Accounts for spans that the store has lost, and by which streams may have begun. `is_witnessed` tells whether
+    /// the writer knew all spans before.
+    fn note_loss(&mut self, wall_ms: u64, is_witnessed: bool) {
+        let mut followed_ms = wall_ms.max(self.newest_ms().saturating_add(1)).min(MAX_WALL_MS);
+        for span in self.spans.iter_mut().filter(|span| span.is_announced_only()) {
+            // What was announced may have been followed since.
+            span.is_announced = false;
+            span.followed_ms = followed_ms;
+            followed_ms = followed_ms.saturating_add(1);
+        }
+        for service in self.services() {
+            let shares = self.current(&service).map(|span| span.shares.clone());
+            self.open(wall_ms, &service, &[]).is_witnessed = is_witnessed;
+            if let Some(shares) = shares {
+                self.open(wall_ms, &service, &shares);
+            }
+        }
+        if !is_witnessed {
+            // The entries that the store knew of are lost as well.
+            self.lost_ms = wall_ms.max(self.newest_ms());
+            let life_ms = STREAM_LIFE.as_millis() as u64;
+            self.unknown_until_ms = wall_ms.saturating_add(life_ms).min(MAX_WALL_MS);
+        }
+    }
+
     /// Notes the shares by which streams of `service` should begin.
     fn note_shares(&mut self, wall_ms: u64, service: &str, shares: &[VersionShare]) {
         let Some(current) = self.current(service) else {
+            if wall_ms < self.unknown_until_ms {
+                self.open(wall_ms, service, &[]).lacks_records = true;
+            }
             // No stream begins before the first span is followed.
             self.open(wall_ms, service, shares);
             return;
         };
         let is_current = are_alike(&current.shares, shares);
         let mut is_announced = false;
-        for span in &mut self.spans {
-            let is_open = span.is_announced && span.until_ms.is_none();
-            if !is_open || *span.service != *service {
+        for span in self.spans.iter_mut().filter(|span| span.is_announced_only()) {
+            if *span.service != *service {
                 continue;
             }
             match !is_current && are_alike(&span.shares, shares) {
@@ -169,11 +210,10 @@
     /// announced long enough ago.
     fn follow(&mut self, wall_ms: u64, known_ms: u64) {
         let mut followed_ms = wall_ms.max(self.newest_ms().saturating_add(1));
-        for span in &mut self.spans {
-            let is_open = span.is_announced && span.until_ms.is_none();
+        for span in self.spans.iter_mut().filter(|span| span.is_announced_only()) {
             let is_due =
                 span.since_ms <= known_ms || span.since_ms.saturating_add(MAX_NOTICE_MS) <= wall_ms;
-            if is_open && is_due {
+            if is_due {
                 span.is_announced = false;
                 span.followed_ms = followed_ms;
                 followed_ms = followed_ms.saturating_add(1);
@@ -181,11 +221,6 @@
         }
     }
 
-    /// Reports whether streams of `service` without a record may have begun at any version that served.
-    pub(super) fn may_be_any(&self, service: &str) -> bool {
-        self.current(service).is_none() || self.possible(service).any(|span| span.shares.is_empty())
-    }
-
     /// Reports whether a span waits to be followed, or an earlier one to end.
     pub fn is_unsettled(&self) -> bool {
         let open = |service: &str| {
@@ -227,15 +262,24 @@
         self.spans.iter().filter(move |span| *span.service == *service && span.may_have_begun())
     }
 
-    /// Reports whether the store must have a record of `stream` at once, as its version does not follow from
-    /// its identifier.
+    /// Returns the services whose streams without a record may have begun at any version.
+    pub fn unknown_services(&self) -> Vec<Box<str>> {
+        self.services().into_iter().filter(|service| self.may_be_any(service)).collect()
+    }
+
+    /// Reports whether streams of `service` without a record may have begun at any version.
+    pub(super) fn may_be_any(&self, service: &str) -> bool {
+        self.possible(service).any(|span| span.shares.is_empty())
+    }
+
+    /// Reports whether the store must have a record of `stream` at once, as the spans disagree on its version.
     pub(super) fn needs_record(&self, service: &str, stream: StreamKey) -> bool {
-        let announced = self.spans.iter().filter(|span| {
-            *span.service == *service && span.is_announced && span.until_ms.is_none()
-        });
-        let mut versions = self.possible(service).chain(announced).map(|span| span.version(stream));
-        let first = versions.next().flatten();
-        first.is_none() || versions.any(|version| version != first)
+        let announced = self.spans.iter().filter(|span| span.is_announced_only());
+        let announced = announced.filter(|span| *span.service == *service);
+        let known = self.possible(service).chain(announced).filter(|span| !span.shares.is_empty());
+        let mut versions = known.map(|span| span.version(stream));
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
     }
 
     /// Notes which entries report, and which of them have ended or are missing.
@@ -276,13 +320,6 @@
         self.spans.last_mut().expect("a span was just added")
     }
 
-    /// Begins the current span anew, after one in which streams may have begun at any version.
-    fn reopen(&mut self, wall_ms: u64, service: &str) {
-        let shares = self.current(service).map(|span| span.shares.clone()).unwrap_or_default();
-        self.open(wall_ms, service, &[]);
-        self.open(wall_ms, service, &shares);
-    }
-
     /// Ends the spans that no entry follows any more, as all know a later one that was followed by `known_ms`.
     fn end_spans(&mut self, wall_ms: u64, known_ms: u64) {
         let mut newest: BTreeMap<Box<str>, u64> = BTreeMap::new();
@@ -291,11 +328,16 @@
                 newest.insert(span.service.clone(), span.since_ms);
             }
         }
+        let is_one_missing = self.entries.values().any(|entry| entry.is_missing);
         for span in self.spans.iter_mut().filter(|span| span.until_ms.is_none()) {
-            if newest.get(&span.service).is_some_and(|since_ms| span.since_ms < *since_ms) {
+            // An entry that is missing followed spans that the witness knew.
+            let may_end = !is_one_missing || span.is_witnessed;
+            if may_end
+                && newest.get(&span.service).is_some_and(|since_ms| span.since_ms < *since_ms)
+            {
                 span.until_ms = Some(wall_ms);
                 // What the entries that report began in it has a record.
-                span.lacks_records = self.lost_ms >= span.since_ms;
+                span.lacks_records |= !span.is_witnessed && self.lost_ms >= span.since_ms;
             }
         }
     }
@@ -325,6 +367,7 @@
                 let next = self.spans.iter_mut().find(|span| is_of(span));
                 let next = next.expect("there are more than one");
                 next.shares.clear();
+                next.is_witnessed = false;
                 next.until_ms = ended.until_ms.and(next.until_ms);
                 next.lacks_records |= ended.lacks_records;
                 next.is_announced &= ended.is_announced;
@@ -337,46 +380,20 @@
         self.current(service)?.version(stream)
     }
 
-    /// Returns the only version of `service` at which streams without a record may have begun; `any` is the
-    /// only one that has served, if there was one only.
-    pub(super) fn sole_version(
-        &self,
-        service: &str,
-        any: Option<VersionKey>,
-    ) -> Option<VersionKey> {
-        let mut versions = Vec::new();
-        for span in self.possible(service) {
-            match span.shares.is_empty() {
-                true => versions.push(any),
-                false => versions.extend(
-                    span.shares.iter().map(|share| Some(VersionKey::new(service, &share.software))),
-                ),
-            }
-        }
-        if self.current(service).is_none() {
-            versions.push(any);
-        }
-        let first = versions.first().copied().flatten()?;
-        versions.iter().all(|version| *version == Some(first)).then_some(first)
+    /// Returns the only version of `service` at which streams without a record may have begun.
+    pub(super) fn sole_version(&self, service: &str) -> Option<VersionKey> {
+        let mut versions = self.possible(service).flat_map(ShareSpan::versions);
+        let first = versions.next()??;
+        versions.all(|version| version == Some(first)).then_some(first)
     }
 
     /// Returns the version of `service` that began `stream`, of which there is no record; `None` if it may have
-    /// begun at several, or if there was no such stream. `any` is the only version that has served, if there
-    /// was one only.
-    pub(super) fn derived_version(
-        &self,
-        service: &str,
-        stream: StreamKey,
-        any: Option<VersionKey>,
-    ) -> Option<VersionKey> {
+    /// begun at several, or if there was no such stream.
+    pub(super) fn derived_version(&self, service: &str, stream: StreamKey) -> Option<VersionKey> {
         if !self.may_lack_record() {
             return None;
         }
-        let version = |span: &ShareSpan| match span.shares.is_empty() {
-            true => any,
-            false => span.version(stream),
-        };
-        let mut versions = self.possible(service).map(version);
+        let mut versions = self.possible(service).map(|span| span.version(stream));
         let first = versions.next()??;
         versions.all(|version| version == Some(first)).then_some(first)
     }
--- a/crates/kernel/src/stream_origin/share_span.rs
+++ b/crates/kernel/src/stream_origin/share_span.rs
@@ -29,7 +29,11 @@
     /// Whether streams that began in the span may have no record, as an entry was lost before it ended.
     #[serde(default)]
     pub lacks_records: bool,
-    /// The shares, in the order of versions; empty if streams may have begun at any version.
+    /// Whether the span stands for spans that the store has lost, and the entry that opened it knew all spans before.
+    #[serde(default)]
+    pub is_witnessed: bool,
+    /// The shares, in the order of versions; empty if streams may have begun at any version, also at one of which
+    /// nothing is known.
     pub shares: Vec<VersionShare>,
 }
 
@@ -43,6 +47,7 @@
             followed_ms: 0,
             until_ms: None,
             lacks_records: false,
+            is_witnessed: false,
             shares: shares.to_vec(),
         }
     }
@@ -53,6 +58,7 @@
         self.followed_ms = self.followed_ms.max(other.followed_ms);
         self.until_ms = self.until_ms.max(other.until_ms);
         self.lacks_records |= other.lacks_records;
+        self.is_witnessed &= other.is_witnessed;
     }
 
     /// Returns the time that an entry which knows the span in its present state has reached.
@@ -65,6 +71,20 @@
         pick(&self.service, &self.shares, stream)
     }
 
+    /// Returns the versions at which streams may have begun by these shares; `None` stands for any.
+    pub(super) fn versions(&self) -> Vec<Option<VersionKey>> {
+        let version = |share: &VersionShare| Some(VersionKey::new(&self.service, &share.software));
+        match self.shares.is_empty() {
+            true => vec![None],
+            false => self.shares.iter().map(version).collect(),
+        }
+    }
+
+    /// Reports whether the span waits to be followed.
+    pub(super) fn is_announced_only(&self) -> bool {
+        self.is_announced && self.until_ms.is_none()
+    }
+
     /// Reports whether a stream without a record may have begun in the span.
     pub(super) fn may_have_begun(&self) -> bool {
         !self.is_announced && (self.until_ms.is_none() || self.lacks_records)
--- a/crates/kernel/src/stream_origin/stream_origins.rs
+++ b/crates/kernel/src/stream_origin/stream_origins.rs
@@ -10,7 +10,7 @@
         ArchiveRecord, BatchError, EntryKey, MarkerInput, OriginAnswer, OriginArchive, OriginDelta,
         OriginEvidence, OriginLedger, OriginMarker, OriginQuestion, OriginRecord, STREAM_LIFE,
         ServedVersion, SpanAck, SpanAcks, StreamKey, VersionHistory, VersionKey, VersionNews,
-        origin_archive::ArchivedNews,
+        origin_archive::ArchivedNews, origin_marker::WriterKnowledge,
     },
     suspect::LedgerPosition,
     time::TimePoint,
@@ -23,6 +23,9 @@
 /// Time for which a record is kept after its caller has stopped waiting.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(2);
 
+/// Longest pause between two attempts to read the store of an entry that has not stood still.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+
 /// Time between two searches for expired records, in milliseconds.
 const TIDY_PERIOD_MS: u64 = 5_000;
 
@@ -38,6 +41,16 @@
     acks: SpanAcks,
     /// Whether the marker was read from the store or from another entry that knows it.
     knows_marker: bool,
+    /// Era of the store.
+    era: u64,
+    /// Era of the store before whose beginning this entry knew all spans that others may have followed; 0 for
+    /// none.
+    witnessed_era: u64,
+    /// Time at which this entry last tried to read the store on behalf of others.
+    tried_at: TimePoint,
+    /// Whether all entries that are not missing reported to this one when it last read the store, and it has tried
+    /// again since without a long pause.
+    hears_all: bool,
     /// Whether there is no waiting for the marker any longer before requests of other kinds are served.
     is_overdue: bool,
     /// Whether a hub counts this entry among those that follow the marker, or this entry writes it.
@@ -60,6 +73,10 @@
             marker: OriginMarker::default(),
             acks: SpanAcks::new(EntryKey::new(name), incarnation),
             knows_marker: false,
+            era: 0,
+            witnessed_era: 0,
+            tried_at: TimePoint::ZERO,
+            hears_all: false,
             is_overdue: false,
             is_counted: false,
             shared_services: BTreeSet::new(),
@@ -116,6 +133,11 @@
         mixed
     }
 
+    /// Returns the number of services whose streams without a record may have begun at any version.
+    pub fn unknown_services(&self) -> usize {
+        self.marker.unknown_services().len()
+    }
+
     /// Shares the streams that were noted before there was a reason to.
     fn update_sharing(&mut self) {
         let mixed: BTreeSet<Box<str>> = self.mixed_services().into_iter().collect();
@@ -143,7 +165,8 @@
     ) -> Option<(VersionKey, bool)> {
         let version = self.begin_version(service, stream)?;
         let needs_record = self.marker.needs_record(service, stream);
-        let shares = needs_record || self.is_stale || self.shared_services.contains(service);
+        let has_reason = self.is_stale || self.shared_services.contains(service);
+        let shares = needs_record || has_reason || self.marker.may_be_any(service);
         self.note(now, stream, Some(version), until_ms, OriginEvidence::Own, shares);
         Some((version, needs_record))
     }
@@ -286,12 +309,10 @@
     ///
     /// A record may be of any age. Without one the version follows from the spans in the store, if they were
     /// read after the question came: what another entry has begun by then, it began by one of them.
-    /// `listed_at` is the time at which the list of endpoints matched the store.
     pub fn find(
         &self,
         now: TimePoint,
         asked_at: TimePoint,
-        listed_at: TimePoint,
         question: &OriginQuestion,
     ) -> OriginAnswer {
         let found = question.stream.and_then(|stream| self.ledger.find(now, stream));
@@ -299,33 +320,28 @@
             return answer;
         }
         let read_at = self.archive.read_at().filter(|at| *at >= asked_at);
-        // A marker that another entry wrote since the read may rest on records that the read lacks.
-        let is_read = self.archive.marker_ms() >= self.marker.written_ms;
-        let is_listed = listed_at >= asked_at;
-        let needs_list = question.services.iter().any(|service| self.marker.may_be_any(service));
-        let Some(read_at) = read_at.filter(|_| is_read && (is_listed || !needs_list)) else {
+        // A marker that another entry wrote since the read may rest on records that the read lacks, and one of
+        // an earlier era may lack spans that the store has lost.
+        let is_read = self.archive.marker().is_some_and(|marker| {
+            marker.written_ms >= self.marker.written_ms && marker.era >= self.era
+        });
+        let Some(read_at) = read_at.filter(|_| is_read) else {
             return OriginAnswer::without(OriginEvidence::Incomplete, Duration::ZERO);
         };
         let age = now.since(read_at);
-        let derived = self.derive(is_listed, question);
-        match derived.filter(|_| !self.ledger.lacks_records(now)) {
+        match self.derive(question).filter(|_| !self.ledger.lacks_records(now)) {
             Some((version, evidence)) => OriginAnswer { version: Some(version), evidence, age },
             None => OriginAnswer::without(OriginEvidence::Unknown, age),
         }
     }
 
     /// Returns the version that follows from the spans in which a stream without a record may have begun.
-    fn derive(
-        &self,
-        is_list_current: bool,
-        question: &OriginQuestion,
-    ) -> Option<(VersionKey, OriginEvidence)> {
+    fn derive(&self, question: &OriginQuestion) -> Option<(VersionKey, OriginEvidence)> {
         let [service] = question.services.as_slice() else { return None };
-        let any = self.history.sole(service).filter(|_| is_list_current);
-        if let Some(version) = self.marker.sole_version(service, any) {
+        if let Some(version) = self.marker.sole_version(service) {
             return Some((version, OriginEvidence::Sole));
         }
-        let version = self.marker.derived_version(service, question.stream?, any)?;
+        let version = self.marker.derived_version(service, question.stream?)?;
         Some((version, OriginEvidence::Derived))
     }
 
@@ -415,19 +431,35 @@
     /// Notes that everything in the store was read at `now`.
     pub fn note_read(&mut self, now: TimePoint) {
         self.archive.note_read(now);
+        self.tried_at = now;
+        let reporting = self.acks.group(now, 0).entries;
+        let mut present = self.marker.entries.iter().filter(|(_, marked)| !marked.is_missing);
+        self.hears_all = present.all(|(entry, _)| reporting.contains_key(entry));
         self.knows_marker = true;
         self.is_counted = true;
         self.update_sharing();
     }
 
+    /// Notes that the store did not answer a read at `now`.
+    pub fn note_failed_read(&mut self, now: TimePoint) {
+        self.hears_all &= now.since(self.tried_at) <= MAX_PAUSE;
+        self.tried_at = now;
+    }
+
     /// Forgets what the store has, because this entry no longer writes on behalf of others.
     pub fn forget_archive(&mut self) {
         self.archive.forget();
+        self.hears_all = false;
     }
 
-    /// Notes that the store came back from an older copy, which may lack what it had.
-    pub fn note_loss(&mut self) {
-        self.archive.forget();
+    /// Notes that the store came back from an older copy, which may lack what it had, in the era `era`.
+    pub fn note_era(&mut self, now: TimePoint, era: u64) {
+        // No other entry can have written spans that this one has not read, if they all reported to it.
+        if self.hears_all && now.since(self.tried_at) <= MAX_PAUSE {
+            self.witnessed_era = era;
+        }
+        self.era = era;
+        self.forget_archive();
         self.ledger.share(|_| true);
     }
 
@@ -441,7 +473,12 @@
         input: &MarkerInput,
     ) -> Vec<ArchiveRecord> {
         let ack = self.group_ack(now);
-        let marker = self.marker.next(wall_ms, &ack, input, self.archive.fits(&self.ledger));
+        let knowledge = WriterKnowledge {
+            is_complete: self.archive.fits(&self.ledger),
+            is_witness: self.witnessed_era == input.era,
+            is_unreadable: self.archive.is_marker_unreadable(),
+        };
+        let marker = self.marker.next(wall_ms, &ack, input, knowledge);
         self.archive.pending(wall_ms, writer, &self.ledger, &self.history, marker)
     }
 
--- a/crates/kernel/src/stream_origin/version_history.rs
+++ b/crates/kernel/src/stream_origin/version_history.rs
@@ -97,13 +97,6 @@
         self.rows.get(&key)
     }
 
-    /// Returns the only version of `service`; `None` if there is none or another one.
-    pub fn sole(&self, service: &str) -> Option<VersionKey> {
-        let mut of_service = self.rows().filter(|(_, row)| *row.service == *service);
-        let (first, _) = of_service.next()?;
-        of_service.next().is_none().then_some(first)
-    }
-
     /// Returns the services with several versions.
     pub fn mixed_services(&self) -> Vec<Box<str>> {
         let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
--- a/crates/kernel/tests/figure_source/mod.rs
+++ b/crates/kernel/tests/figure_source/mod.rs
@@ -135,6 +135,7 @@
             followed_ms: source.u64(),
             until_ms: if source.draw() { Some(source.u64()) } else { None },
             lacks_records: source.draw(),
+            is_witnessed: source.draw(),
             shares: source.shares(),
         };
         OriginMarker {
@@ -142,6 +143,7 @@
             era: self.u64(),
             entries: self.list(entry).into_iter().collect(),
             lost_ms: self.u64(),
+            unknown_until_ms: self.u64(),
             spans: self.list(span),
         }
     }
--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -245,7 +245,7 @@
             let _ = origins.begin_at(now, "app", stream, source.u64());
             origins.note_read(now);
             let question = OriginQuestion { stream: Some(stream), services: vec!["app".into()] };
-            let _ = origins.find(now, now, now, &question);
+            let _ = origins.find(now, now, &question);
             let shares = BTreeMap::from([(source.name(), source.shares())]);
             let input = MarkerInput { era: source.u64(), shares };
             let _ = origins.pending(now, wall_ms, "entry/1", &input);
@@ -440,12 +440,14 @@
             followed_ms,
             until_ms,
             lacks_records: false,
+            is_witnessed: false,
             shares: Vec::new(),
         };
         let entry = MarkedEntry { run: 1, is_missing: false, until_ms: odd };
         let markers = [
             OriginMarker { written_ms: odd, ..sound.clone() },
             OriginMarker { lost_ms: odd, ..sound.clone() },
+            OriginMarker { unknown_until_ms: odd, ..sound.clone() },
             OriginMarker { era: odd, ..sound.clone() },
             OriginMarker { spans: vec![span(odd, 0, None)], ..sound.clone() },
             OriginMarker { spans: vec![span(1, odd, None)], ..sound.clone() },
--- a/crates/kernel/tests/origin_fleet.rs
+++ b/crates/kernel/tests/origin_fleet.rs
@@ -40,6 +40,17 @@
     check(plan, seeds());
 }
 
+/// Guards against a history that counts as whole where the store and all who knew more have lost a part of it.
+#[test]
+fn no_stream_changes_versions_when_older_copies_come_among_kills_of_all_and_entries_that_stand_still()
+ {
+    for entries in [1, 3, 8] {
+        let troubled = OriginPlan { total_kills: 8, freezes: 20, ..OriginPlan::troubled(entries) };
+        let plan = OriginPlan { older_copies: 12, version_changes: 20, ..troubled };
+        check(plan, seeds());
+    }
+}
+
 /// Entries that start in such an outage know no shares.
 #[test]
 fn no_stream_changes_versions_while_the_records_of_streams_cannot_be_read() {
--- a/crates/kernel/tests/origin_simulation/origin_fleet.rs
+++ b/crates/kernel/tests/origin_simulation/origin_fleet.rs
@@ -354,7 +354,7 @@
         }
         let entry = &mut self.entries[index];
         entry.known.insert(hub, (hub_run, delta.position, news.digest, entries));
-        entry.note_era(era);
+        entry.note_era(now, era);
         entry.take_list(now, &listed, current_at);
         entry.origins.merge_versions(&news);
         entry.origins.merge_marker(marker.as_ref());
@@ -382,12 +382,17 @@
             }
             if self.tick.is_multiple_of(READ_TICKS) || self.entries[index].listed.is_empty() {
                 let (now, listed) = (self.now, self.store.listed.clone());
-                self.entries[index].note_era(self.store.era);
+                self.entries[index].note_era(now, self.store.era);
                 self.entries[index].take_list(now, &listed, now);
             }
             let is_due = (self.tick + index as u64).is_multiple_of(WRITE_TICKS);
-            if is_due && self.reaches_origins(index) {
-                self.write(index);
+            match self.reaches_origins(index) {
+                true if is_due => self.write(index),
+                false if is_due => {
+                    let now = self.now;
+                    self.entries[index].origins.note_failed_read(now);
+                }
+                _ => {}
             }
         }
     }
@@ -400,7 +405,7 @@
             self.read(index);
         }
         let entry = &mut self.entries[index];
-        entry.note_era(self.store.era);
+        entry.note_era(now, self.store.era);
         let slots = &self.slots;
         let share = |version: &&str| VersionShare {
             software: (*version).into(),
@@ -430,7 +435,7 @@
     /// Lets an entry read all that the store has.
     fn read(&mut self, index: usize) {
         let (now, entry) = (self.now, &mut self.entries[index]);
-        entry.note_era(self.store.era);
+        entry.note_era(now, self.store.era);
         let is_first = entry.origins.read_at().is_none();
         for (key, value) in self.store.read((!is_first).then_some(entry.read_revision)) {
             entry.origins.take_archived(now, key, value).unwrap();
@@ -576,6 +581,6 @@
     /// Returns what an entry knows, for a question that came in this tick.
     fn find_own(&self, index: usize, question: &OriginQuestion) -> OriginAnswer {
         let entry = &self.entries[index];
-        entry.origins.find(self.now, self.now, entry.current_at, question)
+        entry.origins.find(self.now, self.now, question)
     }
 }
--- a/crates/kernel/tests/origin_simulation/simulated_entry.rs
+++ b/crates/kernel/tests/origin_simulation/simulated_entry.rs
@@ -85,10 +85,10 @@
     }
 
     /// Notes an era of the store.
-    pub fn note_era(&mut self, era: u64) {
+    pub fn note_era(&mut self, now: TimePoint, era: u64) {
         if era > self.era {
             self.era = era;
-            self.origins.note_loss();
+            self.origins.note_era(now, era);
         }
     }
 }
--- a/crates/kernel/tests/stream_origin.rs
+++ b/crates/kernel/tests/stream_origin.rs
@@ -25,7 +25,7 @@
 fn evidence(origins: &StreamOrigins, stream: StreamKey) -> (Option<VersionKey>, OriginEvidence) {
     let services = vec![SERVICE.into()];
     let question = OriginQuestion { stream: Some(stream), services };
-    let answer = origins.find(NOW, NOW, NOW, &question);
+    let answer = origins.find(NOW, NOW, &question);
     (answer.version, answer.evidence)
 }
 
@@ -105,7 +105,7 @@
 fn derived(root: &StreamOrigins, stream: u64) -> OriginAnswer {
     let question =
         OriginQuestion { stream: Some(StreamKey(stream)), services: vec![SERVICE.into()] };
-    root.find(NOW, NOW, NOW, &question)
+    root.find(NOW, NOW, &question)
 }
 
 #[test]
@@ -154,8 +154,7 @@
     write(&mut root, WALL_MS, &shares(1, 0));
     write(&mut root, WALL_MS + 400, &shares(1, 0));
     let later = NOW + Duration::from_millis(1);
-    let evidence =
-        |root: &StreamOrigins, asked_at| root.find(later, asked_at, asked_at, &question).evidence;
+    let evidence = |root: &StreamOrigins, asked_at| root.find(later, asked_at, &question).evidence;
     assert_eq!(evidence(&root, NOW), OriginEvidence::Sole);
     assert_eq!(evidence(&root, later), OriginEvidence::Incomplete);
     root.note_read(later);
@@ -228,23 +227,99 @@
     assert_eq!(derived(&root, 1).evidence, OriginEvidence::Unknown);
 }
 
-/// Streams that began before the store lost what it had.
+/// Returns what an entry with the same name as `root` knows that starts after a kill of all, has read `records` in
+/// the era `era`, and has written twice.
+fn after_loss(records: &[ArchiveRecord], era: u64, input: &MarkerInput) -> StreamOrigins {
+    let mut next = StreamOrigins::new("root", 2);
+    if era > 0 {
+        next.note_era(NOW, era);
+    }
+    for record in records {
+        next.take_archived(NOW, &record.key, &record.value).unwrap();
+    }
+    next.note_read(NOW);
+    if era > 0 {
+        assert_eq!(derived(&next, 1).evidence, OriginEvidence::Incomplete);
+    }
+    for later_ms in [20_000, 20_400] {
+        write(&mut next, WALL_MS + later_ms, &MarkerInput { era, ..input.clone() });
+    }
+    next
+}
+
+/// Guards against a history that counts as whole after the store lost a part of it, and all who knew that died.
 #[test]
-fn no_version_is_derived_for_streams_that_may_have_begun_at_any() {
-    let mut first = StreamOrigins::new("root", 1);
-    let records = write(&mut first, WALL_MS, &shares(1, 1));
-    let next = |era| {
-        let mut next = StreamOrigins::new("root", 2);
-        for record in &records {
-            next.take_archived(NOW, &record.key, &record.value).unwrap();
+fn no_version_follows_from_spans_of_which_the_store_has_lost_some() {
+    for input in [shares(1, 1), shares(1, 0)] {
+        let records = write(&mut StreamOrigins::new("root", 1), WALL_MS, &input);
+        let known = derived(&after_loss(&records, 0, &input), 1);
+        assert!(known.version.is_some());
+        for records in [records.as_slice(), &[]] {
+            let mut next = after_loss(records, 1, &input);
+            assert_eq!(derived(&next, 1).evidence, OriginEvidence::Unknown);
+            let life_ms = STREAM_LIFE.as_millis() as u64;
+            write(&mut next, WALL_MS + life_ms, &MarkerInput { era: 1, ..input.clone() });
+            assert_eq!(derived(&next, 1).evidence, OriginEvidence::Unknown);
         }
-        write(&mut next, WALL_MS + 20_000, &MarkerInput { era, ..shares(1, 1) });
-        write(&mut next, WALL_MS + 20_400, &MarkerInput { era, ..shares(1, 1) });
-        next
-    };
-    let evidence = |era| derived(&next(era), 1).evidence;
-    assert_eq!(evidence(0), OriginEvidence::Derived);
-    assert_eq!(evidence(1), OriginEvidence::Unknown);
+    }
+}
+
+/// Guards against a service that is listed again only after the loss was accounted for.
+#[test]
+fn no_version_follows_for_a_service_that_is_first_listed_after_a_loss() {
+    let input = shares(1, 0);
+    let of_service = input.shares[SERVICE].clone();
+    let other = MarkerInput { era: 0, shares: BTreeMap::from([("other".into(), of_service)]) };
+    let records = write(&mut StreamOrigins::new("root", 1), WALL_MS, &other);
+    let mut next = after_loss(&records, 1, &other);
+    write(&mut next, WALL_MS + 30_000, &MarkerInput { era: 1, ..input.clone() });
+    write(&mut next, WALL_MS + 30_400, &MarkerInput { era: 1, ..input });
+    assert_eq!(derived(&next, 1).evidence, OriginEvidence::Unknown);
+}
+
+/// Guards against streams that are refused for ten minutes although the writer has lost nothing.
+#[test]
+fn an_entry_that_heard_all_others_until_the_store_lost_a_part_knows_the_spans() {
+    let second = |millis| NOW + Duration::from_millis(millis);
+    for (hears_entry, pause_ms, is_known) in
+        [(true, 1_000, true), (false, 1_000, false), (true, 9_000, false)]
+    {
+        let mut root = StreamOrigins::new("root", 1);
+        let mut entry = StreamOrigins::new("entry", 1);
+        root.note_ack(NOW, "entry", entry.ack(NOW, 0));
+        write(&mut root, WALL_MS, &shares(1, 0));
+        let read_at = if hears_entry { NOW } else { second(5_000) };
+        root.note_read(read_at);
+        // The entry is lost with the streams that it began.
+        let noted_at = read_at + Duration::from_millis(pause_ms);
+        root.note_era(noted_at, 1);
+        let input = MarkerInput { era: 1, ..shares(1, 0) };
+        let mut now = noted_at;
+        for later_ms in [10_000, 10_200, 15_000, 15_200] {
+            now = NOW + Duration::from_millis(later_ms);
+            root.note_read(now);
+            root.pending(now, WALL_MS + later_ms, "root", &input);
+            root.note_written();
+        }
+        let question =
+            OriginQuestion { stream: Some(StreamKey(1)), services: vec![SERVICE.into()] };
+        let answer = root.find(now, now, &question);
+        assert_eq!(answer.version.is_some(), is_known, "{hears_entry} {pause_ms}: {answer:?}");
+    }
+}
+
+/// Guards against an empty history in place of one that cannot be read.
+#[test]
+fn no_version_follows_once_the_marker_could_not_be_read() {
+    for odd in [&b"{"[..], b""] {
+        let mut next = StreamOrigins::new("root", 2);
+        assert!(next.take_archived(NOW, "marker", odd).is_err());
+        write(&mut next, WALL_MS, &shares(1, 0));
+        write(&mut next, WALL_MS + 400, &shares(1, 0));
+        assert_eq!(derived(&next, 1).evidence, OriginEvidence::Unknown);
+        let version = Some(VersionKey::new(SERVICE, "v1"));
+        assert_eq!(next.begin_version(SERVICE, StreamKey(1)), version);
+    }
 }
 
 /// Guards against streams of which no later process can tell at which version they began.
