A stopped entry answers no other entry

Cause: the root hub that the test stops no longer reads the store, but its connections to other entries went on being answered. The other entry followed it, with its old copy, until this was 1.3 or 1.6 s old, and then read the store itself. The test's bound is right: an entry whose hub has ended reads within a second. With processes the hub answers on until it exits, after its last writes.

Change: the connections of peers end with the tasks of the entry.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -302,20 +302,23 @@
     }
 }
 
-/// Accepts peers on `listener` and answers their calls until `stop` is cancelled.
+/// Accepts peers on `listener` and answers their calls until `stop` is cancelled, which closes their connections: an
+/// entry that follows the store no longer must not be taken for a hub.
 pub(crate) async fn serve(
     state: Arc<GatewayState>,
     listener: TcpListener,
     stop: CancellationToken,
 ) {
+    let stop_calls = stop.clone();
     let spawn_server = |stream| {
         let framed = frame_codec().new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let calls = BaseChannel::with_defaults(transport);
         let server = PeerServer { state: Arc::clone(&state) };
-        tokio::spawn(calls.execute(server.serve()).for_each(|call| async {
+        let answering = calls.execute(server.serve()).for_each(|call| async {
             tokio::spawn(call);
-        }));
+        });
+        tokio::spawn(stop_calls.clone().run_until_cancelled_owned(answering));
     };
     accept_connections(listener, connection::SERVER_TIMEOUT, stop, spawn_server).await;
 }
