A heartbeat that the store executes late lists no endpoint that has left

A heartbeat of the endpoint had got no answer, and the store executed it 2 s after it had taken the endpoint's leaving.

Cause: within an era the directory took any record at a later offset for news. It compared the start and the number of heartbeats only with records of an earlier era of the store. The copy that is passed on to other entries compared them always, so these took the same record for a removal.

Change: a record counts only if it is newer than all that was seen of its endpoint, in every era. Numbers of endpoints that state no start are compared with those of earlier eras only. A late write does not count as a registration of an endpoint that lapsed either. The directory and the copy use the same comparison.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -142,6 +142,13 @@
                     self.pool.forget(&name);
                     self.run_doubts.forget(&name);
                 }
+                DirectoryChange::Outdated(name) => {
+                    log::warn!(
+                        target: part::FOLLOW, endpoint = &*name;
+                        "endpoint record left out, it is older than the endpoint's leaving"
+                    );
+                    self.metrics.note_outdated_endpoint();
+                }
             }
         }
         self.metrics.note_endpoints(self.directory().len());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     resumed_streams: Counter<u64>,
     endpoint_exclusions: Counter<u64>,
     endpoint_updates: Counter<u64>,
+    outdated_endpoints: Counter<u64>,
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
     take_ups: Counter<u64>,
@@ -89,6 +90,7 @@
             resumed_streams: meter.u64_counter("resumed_streams").build(),
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             endpoint_updates: meter.u64_counter("endpoint_updates").build(),
+            outdated_endpoints: meter.u64_counter("outdated_endpoints").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
             take_ups: meter.u64_counter("take_ups").build(),
@@ -181,6 +183,11 @@
         self.endpoint_exclusions.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a record of an endpoint that is older than the endpoint's leaving.
+    pub(crate) fn note_outdated_endpoint(&self) {
+        self.outdated_endpoints.add(1, &[]);
+    }
+
     /// Counts an update of the endpoints that did not continue the copy of this entry: `form` is `list`
     /// for one that replaced the copy, or `gap` for one that was not applied.
     pub(crate) fn note_endpoint_update(&self, source: &'static str, form: &'static str) {
--- a/crates/kernel/src/place/endpoint_copy.rs
+++ b/crates/kernel/src/place/endpoint_copy.rs
@@ -128,7 +128,7 @@
             }
             let endpoint = record.value.as_ref().and_then(|_| decode(&record));
             if is_covered {
-                if !self.is_news(&record.key, endpoint.as_ref()) {
+                if !self.is_news(&record.key, end.era, endpoint.as_ref()) {
                     continue;
                 }
                 // The sender of a list knows what each endpoint says, but not always its newest record.
@@ -199,9 +199,9 @@
     }
 
     /// Reports whether a list says something of an endpoint that this copy does not have.
-    fn is_news(&self, key: &str, endpoint: Option<&EndpointRecord>) -> bool {
+    fn is_news(&self, key: &str, era: u64, endpoint: Option<&EndpointRecord>) -> bool {
         let listed = self.rows.get(key).and_then(|row| row.listed.as_ref());
-        let is_outdated = endpoint.is_some_and(|known| self.directory.is_outdated(key, known));
+        let is_outdated = endpoint.is_some_and(|known| self.directory.is_outdated(key, era, known));
         !is_outdated && listed.map(|(_, entry)| entry) != endpoint.map(|known| &known.entry)
     }
 
@@ -216,7 +216,7 @@
     ) -> Option<DirectoryChange> {
         // Other entries must not learn of an endpoint that has left from an older copy of the store.
         let is_outdated = endpoint.as_ref().is_some_and(|endpoint| {
-            !endpoint.entry.leaving && self.directory.is_outdated(&record.key, endpoint)
+            !endpoint.entry.leaving && self.directory.is_outdated(&record.key, era, endpoint)
         });
         let entry = endpoint.as_ref().filter(|_| !is_outdated).map(|known| known.entry.clone());
         let listed = record.value.zip(entry);
@@ -232,7 +232,8 @@
             self.rows.insert(record.key.clone(), CopyRow { offset, changed_at, listed });
         }
         let position = LogPosition { era, offset };
-        self.directory.take(now, &record.key, position, endpoint)
+        let change = self.directory.take(now, &record.key, position, endpoint);
+        change.or_else(|| is_outdated.then_some(DirectoryChange::Outdated(record.key)))
     }
 
     /// Forgets the oldest removed keys if there are too many.
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -58,6 +58,8 @@
     Lapsed(Box<str>),
     /// The endpoint is gone.
     Gone(Box<str>),
+    /// The store shows a record of the endpoint that is older than its leaving; nothing changes.
+    Outdated(Box<str>),
 }
 
 #[derive(Clone, Debug)]
@@ -74,9 +76,9 @@
 /// Holds the newest entry of each endpoint.
 ///
 /// Entries are ordered by their positions in the store, regardless of the order and the source in
-/// which they arrive. When the store comes back from an older copy, it shows records that are older
-/// than those it has lost. Start times and heartbeats tell them apart, so that an endpoint that
-/// left is not used again because a record from before is shown.
+/// which they arrive. The store may show records that are older than those it had before: it executes some
+/// writes seconds late, and may come back from an older copy. Start times and heartbeats tell them apart, so
+/// that an endpoint that left is not used again because a record from before is shown.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
     rows: HashMap<Box<str>, DirectoryRow>,
@@ -137,10 +139,12 @@
             if row.position >= position {
                 return None;
             }
-            if record.as_ref().is_some_and(|record| row.has_seen(position, record)) {
+            if record.as_ref().is_some_and(|record| row.has_seen(position.era, record)) {
+                let is_copy = position.era > row.position.era;
                 row.position = position;
-                let was_lapsed = row.lapses_at.take().is_some();
-                let entry = row.entry.clone().filter(|_| was_lapsed)?;
+                // A copy of the store lists the endpoint anew, a late write does not.
+                let returns = is_copy && row.lapses_at.take().is_some();
+                let entry = row.entry.clone().filter(|_| returns)?;
                 return Some(DirectoryChange::Put(name.into(), entry));
             }
         }
@@ -219,14 +223,10 @@
         gone
     }
 
-    /// Reports whether the record at `position` of the endpoint `name` says nothing that is not known,
-    /// because the store shows it from an older copy and the endpoint has left since.
-    pub fn is_outdated(&self, name: &str, record: &EndpointRecord) -> bool {
-        let row = self.rows.get(name).filter(|row| {
-            row.newest_run.is_some_and(|(started_ms, heartbeat)| {
-                (record.entry.started_ms, record.heartbeat) <= (started_ms, heartbeat)
-            })
-        });
+    /// Reports whether a record of the endpoint `name` in the era `era` says nothing that is not known, because the
+    /// store executed it late or shows it from an older copy, and the endpoint has left since.
+    pub fn is_outdated(&self, name: &str, era: u64, record: &EndpointRecord) -> bool {
+        let row = self.rows.get(name).filter(|row| row.has_seen(era, record));
         row.is_some_and(|row| row.entry.as_ref().is_none_or(|entry| entry.leaving))
     }
 
@@ -252,9 +252,12 @@
 }
 
 impl DirectoryRow {
-    /// Reports whether a record of a later era was seen before, in the era before.
-    fn has_seen(&self, position: LogPosition, record: &EndpointRecord) -> bool {
+    /// Reports whether a record of the era `era` is older than one that was seen, or the same.
+    ///
+    /// Within an era the numbers of endpoints that state no start may begin anew.
+    fn has_seen(&self, era: u64, record: &EndpointRecord) -> bool {
         let run = (record.entry.started_ms, record.heartbeat);
-        position.era > self.position.era && self.newest_run.is_some_and(|newest| run <= newest)
+        let is_comparable = era > self.position.era || record.entry.started_ms.is_some();
+        is_comparable && self.newest_run.is_some_and(|newest| run <= newest)
     }
 }
--- a/crates/kernel/tests/foreign_figures.rs
+++ b/crates/kernel/tests/foreign_figures.rs
@@ -157,7 +157,7 @@
             let position = LogPosition { era: source.u64(), offset: source.u64() };
             let (name, end) = (source.name(), position.next());
             directory.take(now, &name, position, record.clone());
-            let _ = record.map(|record| directory.is_outdated(&name, &record));
+            let _ = record.map(|record| directory.is_outdated(&name, end.era, &record));
             directory.note_failed_read();
             directory.note_contact(now, TimePoint::ZERO);
             directory.keep_listed(now, &HashSet::new(), end);
--- a/crates/kernel/tests/place_directory.rs
+++ b/crates/kernel/tests/place_directory.rs
@@ -186,12 +186,12 @@
             directory.take(now, "e1", at(9), None);
         }
         let stale = run_record(7, 3, false);
-        assert!(directory.is_outdated("e1", &stale));
+        assert!(directory.is_outdated("e1", 2, &stale));
         assert_eq!(directory.take(now, "e1", back(5), Some(stale)), None);
         assert!(directory.entry("e1").is_none_or(|entry| entry.leaving));
         // A later heartbeat of the same run, and another run, are news.
         let later = run_record(7, 7, false);
-        assert!(!directory.is_outdated("e1", &later));
+        assert!(!directory.is_outdated("e1", 2, &later));
         let change = directory.take(now, "e1", back(6), Some(later.clone()));
         assert_eq!(change, Some(DirectoryChange::Put("e1".into(), later.entry)));
         let reborn = run_record(8, 1, false);
@@ -219,3 +219,44 @@
     let changes = directory.keep_listed(now, &["e1"].into(), LogPosition { era: 2, offset: 4 });
     assert_eq!(changes, [DirectoryChange::Lapsed("e2".into())]);
 }
+
+/// Guards against an endpoint that is used again because the store executes one of its heartbeats late.
+#[test]
+fn a_record_that_is_executed_late_brings_no_endpoint_back() {
+    let now = TimePoint::from_millis(100);
+    for is_removed in [false, true] {
+        let mut directory = EndpointDirectory::new();
+        directory.take(now, "e1", at(5), Some(run_record(7, 4, false)));
+        if is_removed {
+            directory.take(now, "e1", at(6), None);
+        } else {
+            directory.take(now, "e1", at(6), Some(run_record(7, 5, true)));
+        }
+        for heartbeat in [3, 4] {
+            let late = run_record(7, heartbeat, false);
+            assert!(directory.is_outdated("e1", 1, &late));
+            assert_eq!(directory.take(now, "e1", at(4 + heartbeat), Some(late)), None);
+            assert!(directory.entry("e1").is_none_or(|entry| entry.leaving));
+        }
+        // The next run may begin with any number.
+        let reborn = run_record(8, 1, false);
+        let change = directory.take(now, "e1", at(9), Some(reborn.clone()));
+        assert_eq!(change, Some(DirectoryChange::Put("e1".into(), reborn.entry)));
+    }
+}
+
+/// Guards against a late write that is taken for a registration after an outage, and an older description for
+/// the newest.
+#[test]
+fn a_record_that_is_executed_late_changes_nothing_of_an_endpoint() {
+    let back = TimePoint::from_millis(9_000);
+    let mut directory = directory_after_outage(back);
+    let moved = EndpointEntry { slots: 9, ..run_record(7, 6, false).entry };
+    let newest = EndpointRecord { entry: moved.clone(), heartbeat: 6 };
+    directory.take(back, "e1", at(2), Some(newest));
+    assert_eq!(directory.take(back, "e1", at(3), Some(run_record(7, 5, false))), None);
+    assert_eq!(directory.entry("e1"), Some(&moved));
+    assert_eq!(directory.take(back, "e1", at(4), None), Some(DirectoryChange::Lapsed("e1".into())));
+    assert_eq!(directory.take(back, "e1", at(5), Some(run_record(7, 5, false))), None);
+    assert_eq!(directory.expire(back + LAPSE_GRACE), [DirectoryChange::Gone("e1".into())]);
+}
