An endpoint that is listed again is asked whether it leaves before it gets requests

The store came back from an older copy, which showed an endpoint that had left meanwhile, and entries sent it requests.

Cause: the record of the copy had a higher number of heartbeats than the entries had seen. So the comparison of numbers cannot tell a late or old record from the registration of an endpoint that returns. An entry that has started since cannot tell either.

Change: a run that was gone and is listed again, or one that is not known and has sent more than three heartbeats, gets no requests until it has answered the question for its report without saying that it leaves. One that does not answer gets requests after 4 s. A report that says so counts as a notice of leaving elsewhere as well.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -6,8 +6,8 @@
 use pimentorock_kernel::{
     log_position::LogPosition,
     place::{
-        CopyUpdate, DirectoryChange, EndpointCopy, EndpointDirectory, EndpointRecord,
-        PlacedEndpoint,
+        CopyUpdate, DirectoryChange, EndpointCopy, EndpointDirectory, EndpointEntry,
+        EndpointRecord, PlacedEndpoint,
     },
 };
 
@@ -95,42 +95,10 @@
         let is_known = !self.table().is_empty();
         for change in changes {
             match change {
-                DirectoryChange::Put(name, endpoint) => {
-                    log::info!(
-                        target: part::FOLLOW,
-                        endpoint = &*name, service = &*endpoint.service,
-                        version = &*endpoint.software, leaving = endpoint.leaving, warmup_ms = endpoint.warmup_ms;
-                        "endpoint listed"
-                    );
-                    let started_ms = endpoint.started_ms;
-                    let warmup = Duration::from_millis(endpoint.warmup_ms);
-                    self.pool.forget_other_runs(&name, started_ms);
-                    // Before a stream can begin there, so that it is shared.
-                    self.origins().note_listed(
-                        self.wall_ms(),
-                        &endpoint.service,
-                        &endpoint.software,
-                    );
-                    self.note_replaced_instances(|instance| {
-                        let same = instance.name == name && instance.started_ms == started_ms;
-                        !same && (instance.name == name || instance.address == endpoint.address)
-                    });
-                    let now = clock::now();
-                    let mut table = self.table();
-                    let is_new_run = table.run_start(&name) != Some(started_ms);
-                    let key = table.put(PlacedEndpoint {
-                        name,
-                        service: endpoint.service,
-                        domain: endpoint.domain,
-                        software: endpoint.software,
-                        slots: endpoint.slots,
-                        leaving: endpoint.leaving,
-                        started_ms,
-                    });
-                    table.note_warmup(now, key, warmup);
-                    if is_new_run && is_known {
-                        table.note_started(now, key);
-                    }
+                DirectoryChange::Put(name, endpoint) => self.put_endpoint(name, endpoint, is_known),
+                DirectoryChange::Relisted(name, endpoint) => {
+                    self.put_endpoint(name.clone(), endpoint, is_known);
+                    self.check_listing(&name);
                 }
                 DirectoryChange::Lapsed(name) => {
                     log::info!(target: part::FOLLOW, endpoint = &*name; "endpoint lapsed");
@@ -154,6 +122,41 @@
         self.metrics.note_endpoints(self.directory().len());
     }
 
+    /// Adds an endpoint to the placement table, or updates it; `is_known` is false for the endpoints of the first list.
+    fn put_endpoint(&self, name: Box<str>, endpoint: EndpointEntry, is_known: bool) {
+        log::info!(
+            target: part::FOLLOW,
+            endpoint = &*name, service = &*endpoint.service,
+            version = &*endpoint.software, leaving = endpoint.leaving, warmup_ms = endpoint.warmup_ms;
+            "endpoint listed"
+        );
+        let started_ms = endpoint.started_ms;
+        let warmup = Duration::from_millis(endpoint.warmup_ms);
+        self.pool.forget_other_runs(&name, started_ms);
+        // Before a stream can begin there, so that it is shared.
+        self.origins().note_listed(self.wall_ms(), &endpoint.service, &endpoint.software);
+        self.note_replaced_instances(|instance| {
+            let same = instance.name == name && instance.started_ms == started_ms;
+            !same && (instance.name == name || instance.address == endpoint.address)
+        });
+        let now = clock::now();
+        let mut table = self.table();
+        let is_new_run = table.run_start(&name) != Some(started_ms);
+        let key = table.put(PlacedEndpoint {
+            name,
+            service: endpoint.service,
+            domain: endpoint.domain,
+            software: endpoint.software,
+            slots: endpoint.slots,
+            leaving: endpoint.leaving,
+            started_ms,
+        });
+        table.note_warmup(now, key, warmup);
+        if is_new_run && is_known {
+            table.note_started(now, key);
+        }
+    }
+
     /// Decodes the record of an endpoint; `None` if it names none.
     fn decode_endpoint(&self, record: &StoreRecord) -> Option<EndpointRecord> {
         let mut endpoint = None;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
   `endpoints` and the retry budgets. `panic_guard` shields single records, and tasks are started again.
 * `run_checks` finds out which run of an endpoint is behind a connection (`run_statement`, `run_doubts`), as the
   version of a stream is a fact of the run that writes it.
+* `listing_checks` asks endpoints that are listed again whether they leave.
 * `crash_checks` finds out whether an endpoint that lost requests has crashed, and `suspects` keeps the
   records of these crashes in the store.
 * `limits` takes the limits that endpoints name from their answers, and exchanges them and the tickets for
@@ -69,6 +70,7 @@
 mod follow;
 mod head_fault;
 mod limits;
+mod listing_checks;
 pub mod log_queue;
 mod logs;
 mod message_buffers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     endpoint_exclusions: Counter<u64>,
     endpoint_updates: Counter<u64>,
     outdated_endpoints: Counter<u64>,
+    listing_checks: Counter<u64>,
     limited_endpoints: Gauge<u64>,
     limit_decisions: Counter<u64>,
     take_ups: Counter<u64>,
@@ -91,6 +92,7 @@
             endpoint_exclusions: meter.u64_counter("endpoint_exclusions").build(),
             endpoint_updates: meter.u64_counter("endpoint_updates").build(),
             outdated_endpoints: meter.u64_counter("outdated_endpoints").build(),
+            listing_checks: meter.u64_counter("listing_checks").build(),
             limited_endpoints: meter.u64_gauge("limited_endpoints").build(),
             limit_decisions: meter.u64_counter("limit_decisions").build(),
             take_ups: meter.u64_counter("take_ups").build(),
@@ -183,6 +185,11 @@
         self.endpoint_exclusions.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts an endpoint that is listed again, by what it answered.
+    pub(crate) fn note_listing_check(&self, verdict: &'static str) {
+        self.listing_checks.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts a record of an endpoint that is older than the endpoint's leaving.
     pub(crate) fn note_outdated_endpoint(&self) {
         self.outdated_endpoints.add(1, &[]);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -13,7 +13,7 @@
 use crate::{
     callers, clock, config_transfer, copy_search, duty,
     error::{ErrorKind, GatewayError},
-    follow,
+    follow, listing_checks,
     logs::{self, part},
     origin_publisher, peer,
     planned_stop::GRACE_MARGIN,
@@ -182,6 +182,7 @@
     tokio::spawn(lasting_task(state, stop, "follow_endpoints", follow::follow_endpoints));
     tokio::spawn(lasting_task(state, stop, "follow_suspects", follow::follow_suspects));
     tokio::spawn(lasting_task(state, stop, "expire_idle", follow::expire_idle));
+    tokio::spawn(lasting_task(state, stop, "check_listings", listing_checks::check_listings));
     tokio::spawn(lasting_task(state, stop, "exchange_with_peers", follow::exchange_with_peers));
     tokio::spawn(lasting_task(state, stop, "search_copies", copy_search::search_copies));
     tokio::spawn(lasting_task(state, stop, "fetch_configs", config_transfer::fetch_configs));
--- a/crates/gateway/src/run_checks.rs
+++ b/crates/gateway/src/run_checks.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use pimentorock_kernel::{
     answer::AnswerLimits,
+    place::EndpointNotice,
     stream_origin::{StreamKey, VersionKey},
     time::TimePoint,
 };
@@ -33,7 +34,7 @@
 };
 
 /// Maximum time in which an endpoint states its run.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Limits of an endpoint's report.
 const REPORT_LIMITS: AnswerLimits = AnswerLimits { bytes: 256 << 10, patience: REPORT_TIMEOUT };
@@ -50,6 +51,16 @@
 /// Number of milliseconds by which the wall clocks of endpoints may differ from that of the entries.
 const CLOCK_TOLERANCE_MS: u64 = 500;
 
+/// What an endpoint says of itself on a new connection.
+pub(crate) struct RunAnswer {
+    /// Its run.
+    pub(crate) run: RunStatement,
+    /// Whether it leaves.
+    pub(crate) leaving: bool,
+    /// The connection, unless the endpoint closes it after its answer.
+    connection: Option<HttpConnection>,
+}
+
 /// What the list of endpoints tells of the run behind a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunKnowledge {
@@ -113,13 +124,11 @@
     }
 
     /// Asks the endpoint behind a new connection for its run.
-    ///
-    /// Returns the connection, unless the endpoint closes it after its answer.
-    async fn ask_run(
+    pub(crate) async fn ask_run(
         &self,
         instance: &EndpointInstance,
         mut connection: HttpConnection,
-    ) -> Result<(RunStatement, Option<HttpConnection>), ConnectionError> {
+    ) -> Result<RunAnswer, ConnectionError> {
         let mut request = Request::new(Full::default());
         *request.uri_mut() = Uri::from_static(self.codec.report_path);
         let host = HeaderValue::from_str(&instance.address.to_string());
@@ -134,12 +143,18 @@
             Some(started_ms) => RunStatement::Started(started_ms),
             None => RunStatement::Unstated,
         };
-        let closes = (self.codec.response_head)(&parts.headers).closes
-            || BodyFraming::new(&Method::GET, &parts) == BodyFraming::Connection;
+        let head = (self.codec.response_head)(&parts.headers);
+        if head.leaving {
+            self.note_notice("report", instance, EndpointNotice::Leaving);
+        }
+        let closes =
+            head.closes || BodyFraming::new(&Method::GET, &parts) == BodyFraming::Connection;
         let mut connection = body.connection;
         connection.touch();
         connection.set_run(run);
-        Ok((run, Some(connection).filter(|connection| !closes && !connection.is_closed())))
+        let is_open = !closes && !connection.is_closed();
+        let connection = Some(connection).filter(|_| is_open);
+        Ok(RunAnswer { run, leaving: head.leaving, connection })
     }
 
     /// Reports whether the endpoint behind a new connection states that it is another run than `instance`, and keeps
@@ -150,7 +165,7 @@
         connection: HttpConnection,
     ) -> bool {
         let asked = timeout(REPORT_TIMEOUT, self.ask_run(instance, connection)).await;
-        let Ok(Ok((run, connection))) = asked else {
+        let Ok(Ok(RunAnswer { run, connection, .. })) = asked else {
             self.metrics.note_run_check("failed");
             return false;
         };
@@ -284,7 +299,7 @@
         // Without a report the list of endpoints has to do; an endpoint that states its run is preferred once.
         let is_without = asked.is_err() || self.lost_reports > 0;
         match asked {
-            Ok(Ok((run, connection))) => {
+            Ok(Ok(RunAnswer { run, connection, .. })) => {
                 self.state.metrics.note_run_check(run.label());
                 if let Some(connection) = connection {
                     return Ok(connection);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
     connection_pool::ConnectionPool,
     copy_calls::CopyCalls,
     crash_checks::{CrashChecks, EndpointInstance},
+    listing_checks::ListingChecks,
     logs::part,
     message_buffers::MessageBuffers,
     metrics::GatewayMetrics,
@@ -106,6 +107,7 @@
     pub(crate) copy_calls: CopyCalls,
     /// What must not wait for the next exchange of the versions of streams.
     pub(crate) origin_calls: OriginCalls,
+    pub(crate) listing_checks: ListingChecks,
     usage_counter: StateLock<UsageCounter>,
     /// Last usage share of this entry, and its time.
     last_share: StateLock<Option<(TimePoint, UsageShare)>>,
@@ -144,6 +146,7 @@
             peer_pool: PeerPool::default(),
             copy_calls: CopyCalls::default(),
             origin_calls: OriginCalls::new(),
+            listing_checks: ListingChecks::new(),
             process,
             codec,
             store,
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -127,8 +127,10 @@
     pub(super) memory: u64,
     /// Whether the endpoint is reserved for strict classes.
     pub(super) strict: bool,
-    /// Time before which the endpoint wants no requests.
+    /// Time before which the endpoint gets no requests, as it wants none, or as it may have left.
     pub(super) excluded_until: TimePoint,
+    /// Time before which the endpoint gets no requests, as it may have left.
+    pub(super) held_until: TimePoint,
     /// Whether the endpoint's record in the platform's store expired. The endpoint may be gone, so
     /// other endpoints are preferred.
     pub(super) lapsed: bool,
@@ -169,6 +171,7 @@
             memory: 0,
             strict: false,
             excluded_until: TimePoint::ZERO,
+            held_until: TimePoint::ZERO,
             lapsed: false,
             others: None,
             sample: None,
--- a/crates/kernel/src/place/endpoint_copy.rs
+++ b/crates/kernel/src/place/endpoint_copy.rs
@@ -118,7 +118,6 @@
             UpdateForm::Changes(spans) => self.continue_with(own, spans)?,
         };
         self.position = Some(end);
-        let is_compared = !matches!(form, UpdateForm::Changes(_));
         let covered = own.map_or(0, |own| own.offset);
         for mut record in records {
             let is_covered = record.offset < covered;
@@ -134,7 +133,7 @@
                 // The sender of a list knows what each endpoint says, but not always its newest record.
                 record.offset = end.offset - 1;
             }
-            changes.extend(self.take(now, end.era, is_compared, record, endpoint));
+            changes.extend(self.take(now, end.era, &form, record, endpoint));
         }
         self.forget_removed();
         Ok(changes)
@@ -205,15 +204,21 @@
         !is_outdated && listed.map(|(_, entry)| entry) != endpoint.map(|known| &known.entry)
     }
 
-    /// Applies a record; `is_compared` is true if the description that is known is the one before it.
+    /// Applies a record of an update of the form `form`.
     fn take(
         &mut self,
         now: TimePoint,
         era: u64,
-        is_compared: bool,
+        form: &UpdateForm,
         record: KeyedRecord<V>,
         endpoint: Option<EndpointRecord>,
     ) -> Option<DirectoryChange> {
+        // The description that is known is the one before the record.
+        let is_compared = !matches!(form, UpdateForm::Changes(_));
+        let is_list = *form == UpdateForm::List;
+        let may_have_left = endpoint
+            .as_ref()
+            .is_some_and(|endpoint| self.directory.may_have_left(&record.key, endpoint, is_list));
         // Other entries must not learn of an endpoint that has left from an older copy of the store.
         let is_outdated = endpoint.as_ref().is_some_and(|endpoint| {
             !endpoint.entry.leaving && self.directory.is_outdated(&record.key, era, endpoint)
@@ -232,8 +237,13 @@
             self.rows.insert(record.key.clone(), CopyRow { offset, changed_at, listed });
         }
         let position = LogPosition { era, offset };
-        let change = self.directory.take(now, &record.key, position, endpoint);
-        change.or_else(|| is_outdated.then_some(DirectoryChange::Outdated(record.key)))
+        match self.directory.take(now, &record.key, position, endpoint) {
+            Some(DirectoryChange::Put(name, entry)) if may_have_left => {
+                Some(DirectoryChange::Relisted(name, entry))
+            }
+            None if is_outdated => Some(DirectoryChange::Outdated(record.key)),
+            change => change,
+        }
     }
 
     /// Forgets the oldest removed keys if there are too many.
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -17,6 +17,9 @@
 /// reads.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 
+/// Highest number of heartbeats of a run that has just started.
+const MAX_NEW_HEARTBEATS: u64 = 3;
+
 /// Description that an endpoint wrote to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointEntry {
@@ -53,6 +56,9 @@
 pub enum DirectoryChange {
     /// The endpoint joined, or its description changed.
     Put(Box<str>, EndpointEntry),
+    /// The endpoint is listed again by a run that was listed before, or by one that started a while ago. The store may
+    /// have executed the record late, so the endpoint may have left.
+    Relisted(Box<str>, EndpointEntry),
     /// The endpoint's entry is gone, possibly only because of an outage of the store. The endpoint
     /// may be used if there is no other.
     Lapsed(Box<str>),
@@ -230,6 +236,20 @@
         row.is_some_and(|row| row.entry.as_ref().is_none_or(|entry| entry.leaving))
     }
 
+    /// Reports whether the endpoint `name`, which is not listed, may have left although a record that is news says
+    /// that it is ready. In a list of all endpoints, those that are not known have joined in any order.
+    pub(super) fn may_have_left(&self, name: &str, record: &EndpointRecord, is_list: bool) -> bool {
+        let Some(started_ms) = record.entry.started_ms else { return false };
+        let row = self.rows.get(name);
+        if record.entry.leaving || row.is_some_and(|row| row.entry.is_some()) {
+            return false;
+        }
+        match row.and_then(|row| row.newest_run) {
+            Some((known_ms, _)) => known_ms == Some(started_ms),
+            None => !is_list && record.heartbeat > MAX_NEW_HEARTBEATS,
+        }
+    }
+
     /// Returns the entry of the endpoint named `name`.
     pub fn entry(&self, name: &str) -> Option<&EndpointEntry> {
         self.rows.get(name)?.entry.as_ref()
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -114,6 +114,9 @@
         let known = self.names.get(&spec.name).copied();
         let key = match known.filter(|key| self.endpoints.contains_key(*key)) {
             Some(key) => {
+                if self.endpoints[key].spec.started_ms != spec.started_ms {
+                    self.endpoints[key].held_until = TimePoint::ZERO;
+                }
                 self.endpoints[key].version = VersionKey::new(&spec.service, &spec.software);
                 self.endpoints[key].spec = spec;
                 self.endpoints[key].lapsed = false;
@@ -127,7 +130,7 @@
                 key
             }
         };
-        self.endpoints[key].excluded_until = excluded_until;
+        self.endpoints[key].excluded_until = excluded_until.max(self.endpoints[key].held_until);
         let evacuated = self.evacuated.contains(&self.endpoints[key].spec.domain);
         self.endpoints[key].evacuated = evacuated;
         self.put_warmup_limit(key);
@@ -152,11 +155,22 @@
         let state = self.names.get(name).and_then(|key| self.endpoints.get_mut(*key));
         if let Some(state) = state {
             // The run that is listed by now may have given the notice.
-            state.excluded_until = self.exclusions.until(name, state.spec.started_ms);
+            let excluded_until = self.exclusions.until(name, state.spec.started_ms);
+            state.excluded_until = excluded_until.max(state.held_until);
         }
         until
     }
 
+    /// Gives the endpoint `name` no requests before `until`, as it may have left; [`TimePoint::ZERO`] ends that.
+    pub fn hold(&mut self, name: &str, until: TimePoint) {
+        let state = self.names.get(name).and_then(|key| self.endpoints.get_mut(*key));
+        if let Some(state) = state {
+            state.held_until = until;
+            let excluded_until = self.exclusions.until(name, state.spec.started_ms);
+            state.excluded_until = excluded_until.max(until);
+        }
+    }
+
     /// Reports whether an endpoint asked to get no requests now.
     pub fn is_excluded(&self, now: TimePoint, endpoint: EndpointKey) -> bool {
         self.endpoints.get(endpoint).is_some_and(|state| now < state.excluded_until)
--- a/crates/kernel/tests/place_copy.rs
+++ b/crates/kernel/tests/place_copy.rs
@@ -402,3 +402,66 @@
     let continued = hub.update_for(Some(late)).unwrap();
     assert_eq!((continued.is_list(), continued.len()), (false, 999));
 }
+
+/// Start and heartbeat of a run.
+type Run = (u64, u64);
+
+fn decode_run(record: &KeyedRecord<Run>) -> Option<EndpointRecord> {
+    let (started_ms, heartbeat) = record.value?;
+    let slots = KeyedRecord { offset: 0, key: record.key.clone(), value: Some((8, heartbeat)) };
+    let record = decode(&slots)?;
+    let entry = EndpointEntry { started_ms: Some(started_ms), ..record.entry };
+    Some(EndpointRecord { entry, heartbeat })
+}
+
+/// Returns the kind of the changes that a read of records from `offset` on makes.
+fn changes_of(
+    copy: &mut EndpointCopy<Run>,
+    offset: u64,
+    values: &[Option<Run>],
+) -> Vec<&'static str> {
+    let record = |(index, value): (usize, &Option<Run>)| KeyedRecord {
+        offset: offset + index as u64,
+        key: "e1".into(),
+        value: *value,
+    };
+    let records = values.iter().enumerate().map(record).collect();
+    let update = CopyUpdate::from_log(LogPosition { era: 0, offset }, records);
+    let changes = copy.apply(NOW, update, decode_run).unwrap();
+    let label = |change: &DirectoryChange| match change {
+        DirectoryChange::Put(..) => "put",
+        DirectoryChange::Relisted(..) => "relisted",
+        DirectoryChange::Lapsed(..) => "lapsed",
+        DirectoryChange::Gone(..) => "gone",
+        DirectoryChange::Outdated(..) => "outdated",
+    };
+    changes.iter().map(label).collect()
+}
+
+/// Guards against a late record that is newer than all that was seen, as the store shows few heartbeats.
+#[test]
+fn a_run_that_is_listed_again_may_have_left() {
+    let mut copy = EndpointCopy::new();
+    copy.apply(NOW, CopyUpdate::from_list(LogPosition::default(), Vec::new()), decode_run).unwrap();
+    let mut copy_at = |offset, values: &[Option<Run>]| changes_of(&mut copy, offset, values);
+    assert_eq!(copy_at(0, &[Some((7, 1)), None]), ["put", "gone"]);
+    assert_eq!(copy_at(2, &[Some((7, 1))]), ["outdated"]);
+    assert_eq!(copy_at(3, &[Some((7, 5)), Some((7, 6)), None]), ["relisted", "gone"]);
+    assert_eq!(copy_at(6, &[Some((9, 1))]), ["put"]);
+    // An entry that has not seen the run cannot tell either, unless it has just started.
+    for (heartbeat, expected) in [(1, "put"), (3, "put"), (4, "relisted")] {
+        let mut copy = EndpointCopy::new();
+        let list = CopyUpdate::from_list(LogPosition { era: 0, offset: 1 }, Vec::new());
+        copy.apply(NOW, list, decode_run).unwrap();
+        assert_eq!(changes_of(&mut copy, 1, &[Some((7, heartbeat))]), [expected]);
+    }
+}
+
+/// Guards against an entry that starts and asks each endpoint that it finds.
+#[test]
+fn endpoints_of_a_first_list_have_not_left() {
+    let record = KeyedRecord { offset: 4, key: "e1".into(), value: Some((7, 90)) };
+    let list = CopyUpdate::from_list(LogPosition { era: 0, offset: 5 }, vec![record]);
+    let changes = EndpointCopy::new().apply(NOW, list, decode_run).unwrap();
+    assert!(matches!(changes.as_slice(), [DirectoryChange::Put(..)]));
+}
--- a/crates/kernel/tests/place_exclusion.rs
+++ b/crates/kernel/tests/place_exclusion.rs
@@ -170,3 +170,29 @@
     table.put(endpoint("i-2", 11));
     assert!(table.choose(later, &request, &[]).is_ok_and(|choice| &*choice.name == "i-2"));
 }
+
+/// Guards against a hold that ends with the next record of the endpoint, or ends a notice.
+#[test]
+fn a_held_endpoint_gets_no_requests_until_it_is_let_go() {
+    let now = TimePoint::from_millis(1_000);
+    let until = now + Duration::from_secs(4);
+    let mut table = PlacementTable::new("a");
+    let request = PlacedRequest { service: "chat".into(), ..PlacedRequest::default() };
+    table.put(endpoint("i-1", 7));
+    table.hold("i-1", until);
+    let mut next = endpoint("i-1", 8);
+    next.slots = 5;
+    table.put(next);
+    assert!(table.choose(now, &request, &[]).is_ok(), "another run is not held");
+    table.put(endpoint("i-1", 7));
+    table.hold("i-1", until);
+    table.put(endpoint("i-1", 7));
+    assert!(table.choose(now, &request, &[]).is_err());
+    assert!(table.choose(until, &request, &[]).is_ok());
+    table.hold("i-1", TimePoint::ZERO);
+    assert!(table.choose(now, &request, &[]).is_ok());
+    table.hold("i-1", until);
+    table.note_notice(now, wall_ms(now), "i-1", Some(7), EndpointNotice::Leaving);
+    table.hold("i-1", TimePoint::ZERO);
+    assert!(table.choose(until, &request, &[]).is_err());
+}
