A cut between an entry and the store is no outage in which endpoints lapse

Cause: a read failed, and what any entry had read was older than 1.5 s as a read succeeded again, so the entry took the time for an outage of the store. What is removed at the end of an outage may have expired in it, and is kept as the last resort for 2.5 s. The log that the entry then read showed the heartbeats of all endpoints, and the removal after them.

Change: if the records that follow each other have three of one endpoint, the store was there for two intervals of heartbeats, by when endpoints that live have registered again. There was no outage then, for this entry and those behind it.

--- a/crates/kernel/src/place/endpoint_copy.rs
+++ b/crates/kernel/src/place/endpoint_copy.rs
@@ -11,6 +11,10 @@
     time::TimePoint,
 };
 
+/// Number of records of one endpoint in the records that follow each other from which on the store was there for
+/// so long that endpoints which live have registered again.
+const MIN_HEARTBEATS: u32 = 3;
+
 /// Maximum number of removed keys that are kept for other entries. Those of earlier positions get a
 /// list.
 const MAX_REMOVED: usize = 4_096;
@@ -117,6 +121,11 @@
             }
             UpdateForm::Changes(spans) => self.continue_with(own, spans)?,
         };
+        if let UpdateForm::Log(_) = form
+            && has_heartbeats(&records)
+        {
+            self.directory.note_no_outage();
+        }
         self.position = Some(end);
         let covered = own.map_or(0, |own| own.offset);
         for mut record in records {
@@ -259,3 +268,13 @@
         self.spans.forget_before(kept_from);
     }
 }
+
+/// Reports whether an endpoint has written several of the records.
+fn has_heartbeats<V>(records: &[KeyedRecord<V>]) -> bool {
+    let mut counts: HashMap<&str, u32> = HashMap::new();
+    records.iter().filter(|record| record.value.is_some()).any(|record| {
+        let count = counts.entry(&record.key).or_default();
+        *count += 1;
+        *count >= MIN_HEARTBEATS
+    })
+}
--- a/crates/kernel/src/place/endpoint_directory.rs
+++ b/crates/kernel/src/place/endpoint_directory.rs
@@ -119,6 +119,11 @@
         self.is_failing = true;
     }
 
+    /// Notes that endpoints could write to the store while no entry read it, so that none of them has lapsed.
+    pub(super) fn note_no_outage(&mut self) {
+        self.outage_end = None;
+    }
+
     /// Returns the end of the last outage of the store, if entries that lapsed in it may still register again.
     pub fn outage_end(&self, now: TimePoint) -> Option<TimePoint> {
         self.outage_end.filter(|end| now < *end + LAPSE_GRACE)
--- a/crates/kernel/tests/place_copy.rs
+++ b/crates/kernel/tests/place_copy.rs
@@ -419,6 +419,15 @@
     copy: &mut EndpointCopy<Run>,
     offset: u64,
     values: &[Option<Run>],
+) -> Vec<&'static str> {
+    changes_at(copy, NOW, offset, values)
+}
+
+fn changes_at(
+    copy: &mut EndpointCopy<Run>,
+    now: TimePoint,
+    offset: u64,
+    values: &[Option<Run>],
 ) -> Vec<&'static str> {
     let record = |(index, value): (usize, &Option<Run>)| KeyedRecord {
         offset: offset + index as u64,
@@ -427,7 +436,7 @@
     };
     let records = values.iter().enumerate().map(record).collect();
     let update = CopyUpdate::from_log(LogPosition { era: 0, offset }, records);
-    let changes = copy.apply(NOW, update, decode_run).unwrap();
+    let changes = copy.apply(now, update, decode_run).unwrap();
     let label = |change: &DirectoryChange| match change {
         DirectoryChange::Put(..) => "put",
         DirectoryChange::Relisted(..) => "relisted",
@@ -465,3 +474,21 @@
     let changes = EndpointCopy::new().apply(NOW, list, decode_run).unwrap();
     assert!(matches!(changes.as_slice(), [DirectoryChange::Put(..)]));
 }
+
+/// Guards against a cut between an entry and the store that counts as an outage, in which endpoints lapse.
+#[test]
+fn what_is_removed_after_several_heartbeats_has_not_lapsed_in_an_outage() {
+    for (beats, expected) in [(1, "lapsed"), (2, "lapsed"), (3, "gone")] {
+        let mut copy = EndpointCopy::new();
+        let empty = CopyUpdate::from_list(LogPosition::default(), Vec::new());
+        copy.apply(NOW, empty, decode_run).unwrap();
+        assert_eq!(changes_of(&mut copy, 0, &[Some((7, 1))]), ["put"]);
+        let beats = (2..2 + beats).map(|heartbeat| Some((7, heartbeat)));
+        let values: Vec<Option<Run>> = beats.chain([None]).collect();
+        let later = NOW + 2 * LAPSE_GRACE;
+        copy.note_failed_read();
+        copy.note_contact(later, NOW);
+        let mut changes = changes_at(&mut copy, later, 1, &values);
+        assert_eq!(changes.pop(), Some(expected));
+    }
+}
