An endpoint whose record expired is asked whether it leaves before it is used

Cause: what is removed within 2.5 s after an outage of the store, or after a cut that looks like one, counts as expired and is used if there is no other endpoint.

Change: an endpoint whose record expired is asked for its report before its first request, on a new connection. One that leaves says so, and gets none. Only an entry that has no other endpoint asks.

--- a/crates/gateway/src/run_checks.rs
+++ b/crates/gateway/src/run_checks.rs
@@ -241,6 +241,7 @@
         &mut self,
         work: &mut WorkGuard,
     ) -> Result<HttpConnection, Box<str>> {
+        self.ask_lapsed(work).await?;
         // What cannot be sent again must not meet the bytes that a faulty endpoint sends late.
         let quiet = !self.request.route.is_idempotent();
         let needs = ConnectionNeeds { quiet, asked: self.needs_run() };
--- a/crates/kernel/src/place/endpoint.rs
+++ b/crates/kernel/src/place/endpoint.rs
@@ -134,6 +134,8 @@
     /// Whether the endpoint's record in the platform's store expired. The endpoint may be gone, so
     /// other endpoints are preferred.
     pub(super) lapsed: bool,
+    /// Whether the endpoint has answered that it does not leave since its record expired.
+    pub(super) answered: bool,
     /// Load of all other entries, with the time at which it was reported.
     pub(super) others: Option<(TimePoint, LoadRow)>,
     /// Last load sample, with its time and this entry's requests in flight at that time.
@@ -173,6 +175,7 @@
             excluded_until: TimePoint::ZERO,
             held_until: TimePoint::ZERO,
             lapsed: false,
+            answered: false,
             others: None,
             sample: None,
             parts: HashMap::new(),
--- a/crates/kernel/src/place/table.rs
+++ b/crates/kernel/src/place/table.rs
@@ -177,10 +177,23 @@
     }
 
     /// Notes that the endpoint's record in the store expired; the endpoint is then chosen only if
-    /// no other endpoint accepts the request.
+    /// no other endpoint accepts the request, and it has to be asked before whether it leaves.
     pub fn mark_lapsed(&mut self, name: &str) {
         if let Some(state) = self.names.get(name).and_then(|key| self.endpoints.get_mut(*key)) {
             state.lapsed = true;
+            state.answered = false;
+        }
+    }
+
+    /// Reports whether the endpoint has to be asked whether it leaves, as its record in the store expired.
+    pub fn must_ask(&self, endpoint: EndpointKey) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|state| state.lapsed && !state.answered)
+    }
+
+    /// Notes that the endpoint has answered that it does not leave.
+    pub fn note_answered(&mut self, endpoint: EndpointKey) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.answered = true;
         }
     }
 
