--- /dev/null
+++ b/review/play-3.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Plays one case of 11 to 15: play-3.sh FOLDER SCENARIO; the run.sh of each case calls it.
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -m
+cd "$(dirname "$0")/.." || exit 2
+program=review/stand-ins-4/target/release/review-stand-ins-4
+if ! [ -x "$program" ] || ! [ -x target/release/pimentorockd ]; then
+  echo "not built: run the build of the deploy file and review/build-3.sh"
+  exit 2
+fi
+# All processes of the case are of one process group, which is ended with it.
+"$program" "$2" "review/$1" &
+case=$!
+(sleep 117; kill -KILL -- "-$case") > /dev/null 2>&1 &
+limit=$!
+wait "$case"
+status=$?
+kill -KILL -- "-$limit" 2> /dev/null
+kill -KILL -- "-$case" 2> /dev/null
+wait 2> /dev/null
+if [ "$status" -le 2 ]; then exit "$status"; fi
+exit 2
