--- a/review/play-3.sh
+++ b/review/play-3.sh
@@ -13,6 +13,7 @@
 case=$!
 (sleep 117; kill -KILL -- "-$case") > /dev/null 2>&1 &
 limit=$!
+trap 'kill -KILL -- "-$case" "-$limit" 2> /dev/null; exit 2' HUP INT TERM
 wait "$case"
 status=$?
 kill -KILL -- "-$limit" 2> /dev/null
--- a/review/stand-ins-4/src/blamed.rs
+++ b/review/stand-ins-4/src/blamed.rs
@@ -15,7 +15,7 @@
     listing::Listing,
     model_server::EVENTS,
     record::Record,
-    scenario::{CaseResult, Scenario, put_config},
+    scenario::{CaseResult, LEAD, Scenario, put_config},
     server_process::ServerProcess,
     store::Store,
 };
@@ -75,6 +75,7 @@
         return CaseResult::CouldNotRun("a machine was not ready".into());
     }
     record.tell("both machines are ready");
+    thread::sleep(LEAD);
     let (stop, calls): (Arc<AtomicBool>, Calls) = Default::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
--- a/review/stand-ins-4/src/one_way.rs
+++ b/review/stand-ins-4/src/one_way.rs
@@ -17,7 +17,7 @@
     listing::Listing,
     model_server::EVENTS,
     record::Record,
-    scenario::{CaseResult, Scenario, put_config},
+    scenario::{CaseResult, LEAD, Scenario, put_config},
     server_process::ServerProcess,
     store::Store,
 };
@@ -79,6 +79,7 @@
         return CaseResult::CouldNotRun("a machine was not ready".into());
     }
     record.tell("all machines are ready");
+    thread::sleep(LEAD);
     let (stop, counts): (Arc<AtomicBool>, Arc<Mutex<Counts>>) = Default::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
--- a/review/stand-ins-4/src/reborn.rs
+++ b/review/stand-ins-4/src/reborn.rs
@@ -16,7 +16,7 @@
     entry::{Entry, own_ip},
     link::{Cut, Link},
     listing::Listing,
-    scenario::{CaseResult, Scenario, put_config},
+    scenario::{CaseResult, LEAD, Scenario, put_config},
     server_process::ServerProcess,
     store::Store,
 };
@@ -78,6 +78,7 @@
         return CaseResult::CouldNotRun("a machine was not ready".into());
     }
     record.tell("both machines are ready");
+    thread::sleep(LEAD);
     let (stop, counts): (Arc<AtomicBool>, Arc<Mutex<Counts>>) = Default::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
--- a/review/stand-ins-4/src/scenario.rs
+++ b/review/stand-ins-4/src/scenario.rs
@@ -4,11 +4,14 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{entry::Settings, record::Record, store::Store};
 
+/// Time from the start of the machines to that of the traffic.
+pub const LEAD: Duration = Duration::from_secs(10);
+
 pub struct Scenario {
     pub record: Record,
     /// False if the scenario is played without its disruption.
--- a/review/stand-ins-4/src/silent.rs
+++ b/review/stand-ins-4/src/silent.rs
@@ -16,7 +16,7 @@
     link::{Cut, Link},
     listing::Listing,
     record::Record,
-    scenario::{CaseResult, Scenario, put_config},
+    scenario::{CaseResult, LEAD, Scenario, put_config},
     server_process::ServerProcess,
     store::Store,
 };
@@ -69,6 +69,7 @@
         return CaseResult::CouldNotRun("a machine was not ready".into());
     }
     record.tell("both machines are ready");
+    thread::sleep(LEAD);
     let stop: Arc<AtomicBool> = Arc::default();
     let served: Arc<Mutex<u32>> = Arc::default();
     let fronts: Vec<_> = entries.iter().map(Entry::front).collect();
--- a/review/stand-ins-4/src/upgrade.rs
+++ b/review/stand-ins-4/src/upgrade.rs
@@ -13,7 +13,7 @@
     http,
     listing::{BEAT, Listing},
     record::Record,
-    scenario::{CaseResult, Scenario, put_config},
+    scenario::{CaseResult, LEAD, Scenario, put_config},
     server_process::ServerProcess,
     store::Store,
     versioned_server::{COLD, EVENTS},
@@ -85,7 +85,7 @@
         return CaseResult::CouldNotRun("a machine was not ready".into());
     }
     record.tell("both machines are ready");
-    thread::sleep(Duration::from_secs(2));
+    thread::sleep(LEAD);
     let fronts = [entries[0].front(), entries[1].front()];
     let mut counts = Counts::default();
     for round in 1..=ROUNDS {
