Log and count what readers of the store read, and by which copy requests are refused

Operators could not tell who had confirmed the configuration by which an entry refused a request, how old it was, which entries read the store for others, and what their reads brought. A line now names each change of role at the store, one the configurations of a read with the bytes that came to no use, refusals state the age of the copy and its reader, and the lines of stream shares the role of their writer. Metrics: config_read_bytes, store_role_changes.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -32,6 +32,7 @@
     message_buffers::{HeldMessage, MessageBuffer},
     relay::{self, CallerBody, empty_response},
     route_table::RouteTable,
+    shared_view::{age_ms, reader_name},
     state::GatewayState,
 };
 
@@ -375,10 +376,14 @@
     reason: &str,
     version: u64,
 ) -> Response<CallerBody> {
+    let (current_at, reader) = {
+        let view = state.view();
+        (view.follower.current_at(), view.follower.reader())
+    };
     log::info!(
         target: part::REQUEST,
         request = id.as_deref().unwrap_or("none"), status = status.as_u16(), reason = reason,
-        version = version;
+        version = version, store_age_ms = age_ms(clock::now(), current_at), reader = reader_name(reader);
         "request turned away"
     );
     state.metrics.note_request("none", "turned_away");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     transfer_bytes: Counter<u64>,
     config_transfers: Histogram<f64>,
     late_configs: Counter<u64>,
+    config_reads: Counter<u64>,
+    role_changes: Counter<u64>,
     unreadable_records: Counter<u64>,
 }
 
@@ -120,6 +122,8 @@
             transfer_bytes: meter.u64_counter("config_transfer_bytes").build(),
             config_transfers: meter.f64_histogram("config_transfer_seconds").with_unit("s").build(),
             late_configs: meter.u64_counter("late_config_transfers").build(),
+            config_reads: meter.u64_counter("config_read_bytes").build(),
+            role_changes: meter.u64_counter("store_role_changes").build(),
             panics: meter.u64_counter("panics").build(),
             unreadable_records: meter.u64_counter("unreadable_records").build(),
             _provider: provider,
@@ -311,6 +315,18 @@
         self.late_renewals.record(age.as_secs_f64(), &[KeyValue::new("source", source)]);
     }
 
+    /// Counts bytes of configurations that were read from the store: those of one that came into force, and
+    /// those of all others.
+    pub(crate) fn note_config_read(&self, used: u64, unused: u64) {
+        self.config_reads.add(used, &[KeyValue::new("outcome", "used")]);
+        self.config_reads.add(unused, &[KeyValue::new("outcome", "unused")]);
+    }
+
+    /// Counts a change of the role by which this entry reads the store to `role`.
+    pub(crate) fn note_role(&self, role: &'static str) {
+        self.role_changes.add(1, &[KeyValue::new("role", role)]);
+    }
+
     /// Counts a question to another entry for a newer copy of the store.
     pub(crate) fn note_copy_question(&self, is_answered: bool) {
         self.copy_questions.add(1, &[KeyValue::new("answered", is_answered)]);
--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use pimentorock_kernel::{
-    hub::{HubChoice, ReadTurn},
+    hub::{HubChoice, ReadRole, ReadTurn},
     stream_origin::{ArchiveRecord, MarkerInput, OriginMarker},
     time::TimePoint,
 };
@@ -259,7 +259,8 @@
                 let mut origins = state.origins();
                 (origins.note_written(), origins.fits())
             };
-            written.iter().for_each(note_shares);
+            let role = state.view().role(clock::now());
+            written.iter().for_each(|marker| note_shares(marker, role));
             if !fits || written.is_some_and(|marker| marker.is_unsettled()) {
                 state.origin_calls.want_write();
             }
@@ -269,7 +270,7 @@
 }
 
 /// Logs by which shares streams begin, and since when no stream may have begun by others.
-fn note_shares(marker: &OriginMarker) {
+fn note_shares(marker: &OriginMarker, role: ReadRole) {
     for service in marker.services() {
         let spans: Vec<_> = marker.spans.iter().filter(|span| span.service == service).collect();
         let open: Vec<_> = spans.iter().filter(|span| span.until_ms.is_none()).collect();
@@ -280,7 +281,7 @@
         let shares = shares.iter().map(|share| format!("{}:{}", share.software, share.slots));
         log::info!(
             target: part::FOLLOW,
-            service = &*service, spans = spans.len(), open = open.len(), announced = announced,
+            service = &*service, role = role.name(), spans = spans.len(), open = open.len(), announced = announced,
             unknown = unknown, lacking_records = lacking, lost_ms = marker.lost_ms, entries = marker.entries.len(), era = marker.era, shares = shares.collect::<Vec<_>>().join(",");
             "stream shares written"
         );
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -211,6 +211,11 @@
     now.since(at).as_millis() as u64
 }
 
+/// Returns the name in logs of the entry that read a copy of the store.
+pub(crate) fn reader_name(reader: Option<SocketAddr>) -> String {
+    reader.map_or_else(|| "none".to_owned(), |reader| reader.to_string())
+}
+
 /// How an era compares with the highest one that was seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EraChange {
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use pimentorock_kernel::{
     hub::{AgeBudget, ReadRole, ReadTurn},
     log_position::LogPosition,
@@ -13,9 +14,9 @@
 use crate::{
     clock,
     logs::part,
-    shared_view::EraChange,
+    shared_view::{EraChange, age_ms, reader_name},
     state::GatewayState,
-    store::{RecordBatch, StoreError, StoreTopic},
+    store::{RecordBatch, StoreError, StoreRecord, StoreTopic},
 };
 
 /// Time between checks whether this entry must read the suspects.
@@ -52,6 +53,10 @@
     topic: StoreTopic,
     pace: ReadPace,
     turn: ReadTurn,
+    /// Why the topic was read or not at the last step.
+    role: Option<ReadRole>,
+    /// Time at which the last read was sent.
+    sent_at: TimePoint,
     /// Whether the last read failed.
     failing: bool,
     /// Whether the last read returned records, so that the next one does not wait: only its answer shows
@@ -66,7 +71,16 @@
             StoreTopic::Endpoints => ReadTurn::new().with_second_place(),
             _ => ReadTurn::new(),
         };
-        TopicReader { state, topic, pace, turn, failing: false, continues: false }
+        TopicReader {
+            state,
+            topic,
+            pace,
+            turn,
+            role: None,
+            sent_at: TimePoint::ZERO,
+            failing: false,
+            continues: false,
+        }
     }
 
     /// Reads the topic until `stop` is cancelled.
@@ -88,6 +102,7 @@
             let budget = view.roster.budget();
             (view.role(now), view.old_since(now), budget, view.knows_suspects)
         };
+        self.note_role(now, role);
         let place = match role {
             ReadRole::Substitute => self.state.roster().place(now, PLACE_CENTRE),
             _ => 0.0,
@@ -123,6 +138,7 @@
         budget: AgeBudget,
     ) -> Result<ReadExtent, StoreError> {
         let sent_at = clock::now();
+        self.sent_at = sent_at;
         let is_followed = self.topic != StoreTopic::Suspects;
         let wait = match role {
             ReadRole::Substitute => Duration::ZERO,
@@ -204,9 +220,13 @@
             // Before the configuration, with which an entry that starts begins to serve.
             self.state.apply_evacuations(&batch, from.is_none());
         }
+        let version = self.state.view().config_version();
         for record in &batch.records {
             self.state.apply_record(self.topic, record, "store");
         }
+        if self.topic == StoreTopic::Config {
+            self.note_configs(&batch, from, version);
+        }
         let next = if from.is_none() { Some(batch.end) } else { batch_end };
         if let Some(offset) = next {
             self.state.view().advance(self.topic, LogPosition { era: batch.era, offset });
@@ -236,6 +256,49 @@
         self.state.note_renewal(before, "store");
     }
 
+    /// Logs a change of the role by which this entry reads the configuration.
+    fn note_role(&mut self, now: TimePoint, role: ReadRole) {
+        if self.topic != StoreTopic::Config || self.role.replace(role) == Some(role) {
+            return;
+        }
+        let (current_at, reader) = {
+            let view = self.state.view();
+            (view.follower.current_at(), view.follower.reader())
+        };
+        log::info!(
+            target: part::FOLLOW,
+            role = role.name(), store_age_ms = age_ms(now, current_at),
+            reader = reader_name(reader);
+            "role at the store changed"
+        );
+        self.state.metrics.note_role(role.name());
+    }
+
+    /// Logs and counts the configurations of a read from the offset `from`, or of the newest records if it is
+    /// `None`, before which the entry had the version `before`.
+    fn note_configs(&self, batch: &RecordBatch, from: Option<u64>, before: Option<u64>) {
+        let is_config = |record: &&StoreRecord| &*record.key == self.state.store.config_key;
+        let sizes = batch
+            .records
+            .iter()
+            .filter(is_config)
+            .map(|record| record.value.as_ref().map_or(0, Bytes::len));
+        let (count, bytes) = sizes.clone().fold((0_u64, 0), |(n, sum), size| (n + 1, sum + size));
+        let version = self.state.view().config_version();
+        let used = if version > before { sizes.last().unwrap_or(0) } else { 0 };
+        if count == 0 {
+            return;
+        }
+        log::info!(
+            target: part::FOLLOW,
+            from = from.map_or(-1, |from| from as i64), end = batch.end, configurations = count, bytes = bytes,
+            unused_bytes = bytes - used, version = version.unwrap_or(0),
+            time_ms = age_ms(clock::now(), self.sent_at);
+            "configurations read"
+        );
+        self.state.metrics.note_config_read(used as u64, (bytes - used) as u64);
+    }
+
     fn note_failure(&mut self, error: &StoreError) {
         if !self.failing {
             log::warn!(
--- a/crates/kernel/src/hub/store_follower.rs
+++ b/crates/kernel/src/hub/store_follower.rs
@@ -24,6 +24,18 @@
     Served,
 }
 
+impl ReadRole {
+    /// Returns the name of the role in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            ReadRole::Root => "root",
+            ReadRole::Reader => "reader",
+            ReadRole::Substitute => "substitute",
+            ReadRole::Served => "served",
+        }
+    }
+}
+
 /// What an entry knows of another one's copy of the store.
 #[derive(Clone, Copy, Debug)]
 struct PeerCopy {
