--- a/crates/daemon/tests/late_changes.rs
+++ b/crates/daemon/tests/late_changes.rs
@@ -1,6 +1,7 @@
 //! Changes of the store that entries must know in time while the store refuses most of them.
 
 // These modules are shared with the tests of `platform/`, which use more of their functions.
+#[allow(dead_code)]
 #[path = "../../../platform/tests/changes/mod.rs"]
 mod changes;
 #[allow(dead_code)]
