A new reader continues where the others are, not at its own last read

Callers got 404 for routes that had been added, and were served on withdrawn keys, for up to 0.98 s after their bound while the store refused most entries.

An entry that gets its copy from others noted their configurations, but not how far these had read the topic. Once it had to read the store itself, it began where it had last read, usually at the start of its process, and received every version since then, whole. All others waited for the end of this. The time grew with the number of versions and their size over the rate of the link; the sum of the age budget counts one read.

Entries now state the position with their version, which holds for a receiver once it has that version or a later one; a wrong or odd position ends at a read of the newest records, as before.

--- a/crates/gateway/src/copy_messages.rs
+++ b/crates/gateway/src/copy_messages.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use pimentorock_kernel::{
-    hub::KnownEntry,
+    hub::{KnownEntry, PositionClaim},
     log_position::{LogPosition, MAX_ERA},
     place::{CopyUpdate, EvacuationUpdate},
     time::TimePoint,
@@ -60,6 +60,9 @@
     pub(crate) reader: Option<SocketAddr>,
     /// Highest era of the store that the answering entry has seen; the configuration is of this era.
     pub(crate) era: u64,
+    /// How far the answering entry has the topic of the configuration and of the orders to evacuate failure
+    /// domains.
+    pub(crate) claim: Option<PositionClaim>,
     /// Newer configurations than that of the question.
     pub(crate) config: ConfigNews,
     /// What the asking entry lacks of the endpoints; `None` if it lacks nothing.
@@ -76,6 +79,7 @@
     /// Reports whether an entry can have sent the answer.
     pub(crate) fn is_readable(&self) -> bool {
         self.era <= MAX_ERA
+            && self.claim.as_ref().is_none_or(PositionClaim::is_readable)
             && self.endpoints.as_ref().is_none_or(CopyUpdate::is_readable)
             && self.evacuations.as_ref().is_none_or(EvacuationUpdate::is_readable)
     }
@@ -132,9 +136,10 @@
     pub(crate) fn copy_for(&self, known: &CopyState) -> CopyAnswer {
         let now = clock::now();
         // The endpoints of the answer may be newer than it says, never older.
-        let (current_at, reader) = {
+        // The same holds for the configuration and the orders before the position of the claim.
+        let (current_at, reader, claim) = {
             let view = self.view();
-            (view.follower.current_at(), view.follower.reader())
+            (view.follower.current_at(), view.follower.reader(), view.config_claim())
         };
         let (endpoints, outage_end) = {
             let copy = self.endpoints();
@@ -146,6 +151,7 @@
             store_age_ms: age_ms(now, current_at),
             reader,
             era: view.era,
+            claim,
             config: view.configs.news_for(known.config_version),
             endpoints: endpoints.map(|update| update.map_values(|value| value.to_vec())),
             has_list: false,
@@ -172,6 +178,9 @@
             self.adopt_evacuations(evacuations);
         }
         self.apply_config_news(now, from, answer.config);
+        if let Some(claim) = answer.claim {
+            self.view().note_config_claim(claim);
+        }
         if let Some(age_ms) = answer.outage_age_ms {
             let end = sent_at - Duration::from_millis(age_ms);
             self.endpoints().note_outage_end(end);
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -5,8 +5,8 @@
 use pimentorock_kernel::{
     duty::DutySighting,
     hub::{
-        GroupLoad, HubRoster, KnownEntry, LoadAggregator, ReadRole, SkewEstimator, SlidingMaximum,
-        StoreFollower,
+        GroupLoad, HubRoster, KnownEntry, LoadAggregator, PositionClaim, ReadRole, SkewEstimator,
+        SlidingMaximum, StoreFollower, TopicProgress,
     },
     log_position::{LogPosition, MAX_ERA},
     stream_origin::SpanAck,
@@ -47,8 +47,10 @@
     pub(crate) era: u64,
     /// The current configuration, and newer ones of other entries.
     pub(crate) configs: ConfigCopy,
-    /// Position of the next record to read of each topic that is followed, the endpoints excepted.
-    next_positions: HashMap<StoreTopic, LogPosition>,
+    /// How far this entry has the topic of the configuration.
+    config_progress: TopicProgress,
+    /// Position of the next record to read of the suspects.
+    suspects_next: Option<LogPosition>,
     /// Whether the suspects were read from the store or from another entry that knows them.
     pub(crate) knows_suspects: bool,
     /// Newest record of the usage duty that this entry has heard of.
@@ -76,7 +78,8 @@
             entry_count: SlidingMaximum::new(),
             era: 0,
             configs: ConfigCopy::default(),
-            next_positions: HashMap::new(),
+            config_progress: TopicProgress::new(),
+            suspects_next: None,
             knows_suspects: false,
             duty_seen: None,
             configured_at: None,
@@ -85,15 +88,35 @@
         }
     }
 
-    /// Returns the position to continue reading `topic` from, or `None` if `topic` was not read.
+    /// Returns the position to continue reading `topic` from, or `None` if nothing of it is known.
     pub(crate) fn next_position(&self, topic: StoreTopic) -> Option<LogPosition> {
-        self.next_positions.get(&topic).copied()
+        match topic {
+            StoreTopic::Config => self.config_progress.next(self.config_version()),
+            _ => self.suspects_next,
+        }
+    }
+
+    /// Records that the records of `topic` before `next` were read; `is_list` tells whether they were the
+    /// newest records of each key.
+    pub(crate) fn advance(&mut self, topic: StoreTopic, next: LogPosition, is_list: bool) {
+        match (topic, is_list) {
+            (StoreTopic::Config, true) => self.config_progress.restart(next),
+            (StoreTopic::Config, false) => self.config_progress.advance(next),
+            _ => self.suspects_next = self.suspects_next.max(Some(next)),
+        }
     }
 
-    /// Records that the records of `topic` before `next` were read.
-    pub(crate) fn advance(&mut self, topic: StoreTopic, next: LogPosition) {
-        let known = self.next_positions.entry(topic).or_insert(next);
-        *known = (*known).max(next);
+    /// Returns how far this entry has the topic of the configuration.
+    pub(crate) fn config_claim(&self) -> Option<PositionClaim> {
+        let next = self.next_position(StoreTopic::Config).filter(|next| next.era == self.era)?;
+        Some(PositionClaim::new(self.config_version()?, next))
+    }
+
+    /// Records how far another entry has the topic of the configuration.
+    pub(crate) fn note_config_claim(&mut self, claim: PositionClaim) {
+        if claim.next().era == self.era {
+            self.config_progress.note_claim(self.config_version(), claim);
+        }
     }
 
     /// Returns the version of the current configuration, if there is one.
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -229,7 +229,8 @@
         }
         let next = if from.is_none() { Some(batch.end) } else { batch_end };
         if let Some(offset) = next {
-            self.state.view().advance(self.topic, LogPosition { era: batch.era, offset });
+            let next = LogPosition { era: batch.era, offset };
+            self.state.view().advance(self.topic, next, from.is_none());
         }
         if self.topic == StoreTopic::Suspects && from.is_none() {
             self.state.archive().note_read();
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -5,7 +5,7 @@
 use http::HeaderMap;
 use pimentorock_kernel::{
     duty::SightingRow,
-    hub::{AgeBudget, KnownEntry},
+    hub::{AgeBudget, KnownEntry, PositionClaim},
     log_position::LogPosition,
     place::{
         CopyUpdate, EndpointEntry, EndpointRecord, EvacuationUpdate, KeyedRecord, PlacedRequest,
@@ -207,6 +207,11 @@
             store_age_ms: self.u64(),
             reader: Some(self.address()),
             era: if self.draw() { era % 3 } else { era },
+            claim: if self.draw() {
+                Some(PositionClaim::new(self.u64(), self.log_position()))
+            } else {
+                None
+            },
             config: self.config_news(),
             has_list: self.draw(),
             endpoints: if self.draw() { Some(self.endpoints()) } else { None },
--- a/crates/kernel/src/hub/mod.rs
+++ b/crates/kernel/src/hub/mod.rs
@@ -18,11 +18,13 @@
 mod copy_search;
 mod known_entry;
 mod load_aggregator;
+mod position_claim;
 mod read_turn;
 mod roster;
 mod skew_estimator;
 mod sliding_maximum;
 mod store_follower;
+mod topic_progress;
 
 pub use self::{
     age_budget::AgeBudget,
@@ -30,9 +32,11 @@
     copy_search::CopySearch,
     known_entry::KnownEntry,
     load_aggregator::{GroupLoad, LoadAggregator},
+    position_claim::PositionClaim,
     read_turn::ReadTurn,
     roster::{HubChoice, HubRoster, exchange_period},
     skew_estimator::SkewEstimator,
     sliding_maximum::SlidingMaximum,
     store_follower::{ReadRole, StoreFollower},
+    topic_progress::TopicProgress,
 };
