A reader with a backlog of configurations reads the newest one alone

Entries that got their changes from a reader on a slow link were late by what superseded versions took: each read brought all versions that were written during the one before, 262 kB each.

If the topic goes on, the newest record takes the place of the rest. If that cannot be read, what has arrived is applied as before. Reads of the other topics state the limit of 1 MB that the store assumed.

gateway late_answers, the_newest_configuration_is_read_in_place_of_a_backlog: version 2 in place of 9 after one read without the change, passes with it.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,7 @@
     late_configs: Counter<u64>,
     config_reads: Counter<u64>,
     role_changes: Counter<u64>,
+    skipped_backlogs: Counter<u64>,
     unreadable_records: Counter<u64>,
 }
 
@@ -123,6 +124,7 @@
             config_transfers: meter.f64_histogram("config_transfer_seconds").with_unit("s").build(),
             late_configs: meter.u64_counter("late_config_transfers").build(),
             config_reads: meter.u64_counter("config_read_bytes").build(),
+            skipped_backlogs: meter.u64_counter("skipped_config_backlogs").build(),
             role_changes: meter.u64_counter("store_role_changes").build(),
             panics: meter.u64_counter("panics").build(),
             unreadable_records: meter.u64_counter("unreadable_records").build(),
@@ -322,6 +324,11 @@
         self.config_reads.add(unused, &[KeyValue::new("outcome", "unused")]);
     }
 
+    /// Counts a read of the newest configuration in place of those before it.
+    pub(crate) fn note_skipped_backlog(&self) {
+        self.skipped_backlogs.add(1, &[]);
+    }
+
     /// Counts a change of the role by which this entry reads the store to `role`.
     pub(crate) fn note_role(&self, role: &'static str) {
         self.role_changes.add(1, &[KeyValue::new("role", role)]);
--- a/crates/gateway/src/origin_publisher.rs
+++ b/crates/gateway/src/origin_publisher.rs
@@ -15,7 +15,7 @@
     logs::part,
     shared_view::EraChange,
     state::GatewayState,
-    store::{NewRecord, RecordBatch, StoreError, StoreRecord, StoreTopic},
+    store::{LogRead, MAX_READ_BYTES, NewRecord, RecordBatch, StoreError, StoreRecord, StoreTopic},
 };
 
 /// Time between two writes to the store.
@@ -176,7 +176,13 @@
             return self.read_newest().await;
         };
         let sent_at = clock::now();
-        let read = (self.state.store.read)(StoreTopic::Origins, next, Duration::ZERO).await;
+        let read = LogRead {
+            topic: StoreTopic::Origins,
+            from: next,
+            wait: Duration::ZERO,
+            max_bytes: MAX_READ_BYTES,
+        };
+        let read = (self.state.store.read)(read).await;
         self.state.metrics.note_store_call("origins", read.is_ok());
         match read {
             Err(StoreError::Trimmed) => self.read_newest().await,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -52,6 +52,18 @@
     pub records: Vec<StoreRecord>,
 }
 
+impl RecordBatch {
+    /// Returns the offset after the records; `None` if there are none.
+    pub(crate) fn next_offset(&self) -> Option<u64> {
+        self.records.iter().map(|record| record.offset + 1).max()
+    }
+
+    /// Reports whether the topic has more records than an answer to a read from an offset holds.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.next_offset().is_some_and(|next| next < self.end)
+    }
+}
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[non_exhaustive]
@@ -79,10 +91,24 @@
 /// Future result of a call to the platform.
 pub type StoreResult<T> = BoxFuture<'static, Result<T, StoreError>>;
 
-/// Reads the records of a topic from an offset, and waits up to the given time for the first
-/// record.
-pub type ReadCall =
-    Box<dyn Fn(StoreTopic, u64, Duration) -> StoreResult<RecordBatch> + Send + Sync>;
+/// Size in bytes at which the answer to a read ends where all records are of use.
+pub(crate) const MAX_READ_BYTES: usize = 1 << 20;
+
+/// A read of the records of a topic from an offset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogRead {
+    /// Topic to read.
+    pub topic: StoreTopic,
+    /// Offset of the first record.
+    pub from: u64,
+    /// Maximum time to wait for the first record.
+    pub wait: Duration,
+    /// Size in bytes at which the answer ends; it has at least one record, of any size.
+    pub max_bytes: usize,
+}
+
+/// Reads records of a topic.
+pub type ReadCall = Box<dyn Fn(LogRead) -> StoreResult<RecordBatch> + Send + Sync>;
 
 /// Reads the newest record of each key of a topic.
 pub type NewestCall = Box<dyn Fn(StoreTopic) -> StoreResult<RecordBatch> + Send + Sync>;
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -16,12 +16,15 @@
     logs::part,
     shared_view::{EraChange, age_ms, reader_name},
     state::GatewayState,
-    store::{RecordBatch, StoreError, StoreRecord, StoreTopic},
+    store::{LogRead, MAX_READ_BYTES, RecordBatch, StoreError, StoreRecord, StoreTopic},
 };
 
 /// Time between checks whether this entry must read the suspects.
 const SUSPECTS_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
+/// Size in bytes of unread configurations from which on only the newest one is read.
+const MAX_BACKLOG_BYTES: usize = 64 << 10;
+
 /// Place of an entry's attempt within its part of the order of attempts.
 const PLACE_CENTRE: f64 = 0.5;
 
@@ -175,7 +178,12 @@
     }
 
     async fn read_from(&self, next: LogPosition, wait: Duration) -> Result<ReadExtent, StoreError> {
-        let read = (self.state.store.read)(self.topic, next.offset, wait).await;
+        let (topic, from) = (self.topic, next.offset);
+        let max_bytes = match topic {
+            StoreTopic::Config => MAX_BACKLOG_BYTES,
+            _ => MAX_READ_BYTES,
+        };
+        let read = (self.state.store.read)(LogRead { topic, from, wait, max_bytes }).await;
         let batch = match read {
             Ok(batch) => batch,
             Err(StoreError::Trimmed) => return self.read_newest().await,
@@ -185,7 +193,28 @@
             EraChange::Outdated => Err(StoreError::Outdated),
             // The offset was one of an era before, which this read or another one found to be over.
             _ if batch.era != next.era => self.read_newest().await,
-            _ => self.apply_batch(batch, Some(next.offset)),
+            _ if topic == StoreTopic::Config && batch.is_cut() => {
+                self.skip_backlog(batch, from).await
+            }
+            _ => self.apply_batch(batch, Some(from)),
+        }
+    }
+
+    /// Reads the newest configuration in place of those that follow `batch`, the answer to a read from the
+    /// offset `from`.
+    async fn skip_backlog(&self, batch: RecordBatch, from: u64) -> Result<ReadExtent, StoreError> {
+        let end = batch.end;
+        match self.read_newest().await {
+            Ok(extent) => {
+                log::info!(
+                    target: part::FOLLOW, from = from, end = end;
+                    "superseded configurations skipped"
+                );
+                self.state.metrics.note_skipped_backlog();
+                Ok(extent)
+            }
+            // What has arrived is progress.
+            Err(_) => self.apply_batch(batch, Some(from)),
         }
     }
 
@@ -199,10 +228,10 @@
 
     /// Applies the records of a read from the offset `from`, or the newest records if it is `None`.
     fn apply_batch(&self, batch: RecordBatch, from: Option<u64>) -> Result<ReadExtent, StoreError> {
-        let batch_end = batch.records.iter().map(|record| record.offset + 1).max();
+        let batch_end = batch.next_offset();
         let extent = match (from, batch_end) {
             (None, _) => ReadExtent::Whole,
-            (Some(_), Some(end)) if end < batch.end => ReadExtent::Cut,
+            (Some(_), Some(_)) if batch.is_cut() => ReadExtent::Cut,
             (Some(_), Some(_)) => ReadExtent::Whole,
             (Some(_), None) => ReadExtent::Nothing,
         };
--- a/crates/gateway/tests/late_answers/mod.rs
+++ b/crates/gateway/tests/late_answers/mod.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use pimentorock_kernel::{hub::HubChoice, time::TimePoint};
+use pimentorock_kernel::{hub::HubChoice, log_position::LogPosition, time::TimePoint};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -16,7 +16,7 @@
     clock, follow,
     peer_messages::state,
     state::GatewayState,
-    store::{RecordBatch, StoreRecord, StoreTopic},
+    store::{LogRead, RecordBatch, StoreError, StoreRecord, StoreTopic},
 };
 
 /// Time that an answer spends on its way.
@@ -28,29 +28,37 @@
 
 /// Follows the configuration in a store whose answer number `n` to a read, from 0, is `answers[n]`, after a
 /// time for which the read waits and a time on the way; returns how much later than the last answer was given
-/// the configuration counts as current.
+/// the configuration counts as current. The list of the newest records ends at offset 1 when it is first read;
+/// after that it ends at `newest_end`, or cannot be read if this is `None`.
 async fn overstated(
-    answers: &'static [(Duration, Duration, RecordBatchForm)],
+    answers: &[(Duration, Duration, RecordBatchForm)],
+    newest_end: Option<u64>,
 ) -> (Arc<GatewayState>, Duration) {
     let mut state = state();
+    let (answers, count) = (answers.to_vec(), answers.len());
     let reads = Arc::new(AtomicUsize::new(0));
     // Time at which the answer that is on its way was given, in microseconds.
     let given = Arc::new(AtomicUsize::new(0));
     let (counted, noted) = (Arc::clone(&reads), Arc::clone(&given));
-    state.store.newest = Box::new(|_| {
-        Box::pin(async { Ok(RecordBatch { end: 1, records: vec![record(0)], era: 0 }) })
+    let lists = AtomicUsize::new(0);
+    state.store.newest = Box::new(move |_| {
+        let is_first = lists.fetch_add(1, Ordering::SeqCst) == 0;
+        let end = if is_first { Some(1) } else { newest_end };
+        let list = end.map(|end| RecordBatch { end, records: vec![record(end - 1)], era: 0 });
+        Box::pin(async move { list.ok_or(StoreError::Refused(503)) })
     });
-    state.store.read = Box::new(move |_, from, _| {
+    state.store.read = Box::new(move |LogRead { from, .. }| {
         let (counted, noted) = (Arc::clone(&counted), Arc::clone(&noted));
+        let number = counted.fetch_add(1, Ordering::SeqCst);
+        let answer = answers.get(number).copied();
         Box::pin(async move {
-            let number = counted.fetch_add(1, Ordering::SeqCst);
-            let Some((wait, transit, form)) = answers.get(number) else {
+            let Some((wait, transit, form)) = answer else {
                 std::future::pending::<()>().await;
                 unreachable!()
             };
-            sleep(*wait).await;
+            sleep(wait).await;
             noted.store(clock::now().as_micros() as usize, Ordering::SeqCst);
-            sleep(*transit).await;
+            sleep(transit).await;
             let (end, count) = match form {
                 RecordBatchForm::Empty => (from, 0),
                 RecordBatchForm::Whole => (from + 2, 2),
@@ -68,7 +76,7 @@
     let stop = CancellationToken::new();
     let following = tokio::spawn(follow::follow_config(Arc::clone(&state), stop.clone()));
     // The last read is sent once the answer before it is applied.
-    while reads.load(Ordering::SeqCst) <= answers.len() {
+    while reads.load(Ordering::SeqCst) <= count {
         sleep(Duration::from_millis(5)).await;
     }
     let given_at = TimePoint::from_micros(given.load(Ordering::SeqCst) as u64);
@@ -97,8 +105,8 @@
 /// Guards against a copy that counts as current at the arrival of an answer that was long on its way.
 #[tokio::test]
 async fn an_answer_that_arrives_late_counts_from_the_time_at_which_it_was_given() {
-    let (_, empty) = overstated(&[FIRST, (WAIT, TRANSIT, RecordBatchForm::Empty)]).await;
-    let (_, whole) = overstated(&[FIRST, (HALF, TRANSIT, RecordBatchForm::Whole)]).await;
+    let (_, empty) = overstated(&[FIRST, (WAIT, TRANSIT, RecordBatchForm::Empty)], None).await;
+    let (_, whole) = overstated(&[FIRST, (HALF, TRANSIT, RecordBatchForm::Whole)], None).await;
     let allowed = Duration::from_millis(60);
     assert!(empty < allowed && whole < allowed, "{empty:?}, {whole:?}");
 }
@@ -107,10 +115,20 @@
 #[tokio::test]
 async fn an_answer_that_is_cut_at_its_limit_makes_no_copy_current() {
     let started = clock::now();
-    let (state, _) =
-        overstated(&[(HALF, NOTHING, RecordBatchForm::Cut), (HALF, NOTHING, RecordBatchForm::Cut)])
-            .await;
+    let cut = [(HALF, NOTHING, RecordBatchForm::Cut), (HALF, NOTHING, RecordBatchForm::Cut)];
+    let (state, _) = overstated(&cut, None).await;
     let current_at = state.view().follower.current_at();
     assert!(current_at.since(started) < HALF, "{:?}", current_at.since(started));
     assert_eq!(state.view().config_version(), Some(4));
 }
+
+/// Guards against a reader that receives each version of the configuration since its last read.
+#[tokio::test]
+async fn the_newest_configuration_is_read_in_place_of_a_backlog() {
+    let started = clock::now();
+    let (state, _) = overstated(&[(HALF, NOTHING, RecordBatchForm::Cut)], Some(10)).await;
+    assert_eq!(state.view().config_version(), Some(9));
+    let next = state.view().next_position(StoreTopic::Config);
+    assert_eq!(next, Some(LogPosition { era: 0, offset: 10 }));
+    assert!(state.view().follower.current_at() >= started);
+}
--- a/crates/gateway/tests/peer_messages/mod.rs
+++ b/crates/gateway/tests/peer_messages/mod.rs
@@ -70,7 +70,7 @@
     let store = FleetStore {
         received: StoreMeters::new(),
         config_key: "config",
-        read: Box::new(|_, _, _| Box::pin(async { Err(StoreError::Trimmed) })),
+        read: Box::new(|_| Box::pin(async { Err(StoreError::Trimmed) })),
         newest: Box::new(|_| Box::pin(async { Err(StoreError::Trimmed) })),
         append: Box::new(|_, _, _| Box::pin(async { Ok(LogPosition { era: 0, offset: 0 }) })),
         report: Box::new(|_, _| Box::pin(async { Ok(()) })),
