--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -314,11 +314,11 @@
             .filter(is_config)
             .map(|record| record.value.as_ref().map_or(0, Bytes::len));
         let (count, bytes) = sizes.clone().fold((0_u64, 0), |(n, sum), size| (n + 1, sum + size));
-        let version = self.state.view().config_version();
-        let used = if version > before { sizes.last().unwrap_or(0) } else { 0 };
         if count == 0 {
             return;
         }
+        let version = self.state.view().config_version();
+        let used = if version > before { sizes.last().unwrap_or(0) } else { 0 };
         log::info!(
             target: part::FOLLOW,
             from = from.map_or(-1, |from| from as i64), end = batch.end, configurations = count, bytes = bytes,
