A backlog is skipped only for a newest configuration that comes into force

If the list of the newest did not come, the record that had arrived was thrown away with the call, and a record of an era that had ended meanwhile could be applied.

A read that is cut is now applied at once; the list of the newest is a read of its own, after it, and the position moves only if a higher version came into force. Otherwise the log is read on.

late_answers: a_backlog_is_read_on_if_its_newest_record_cannot_be_used.

--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -65,6 +65,8 @@
     /// Whether the last read returned records, so that the next one does not wait: only its answer shows
     /// that the copy is current.
     continues: bool,
+    /// Whether the newest configuration is to be read in place of those that follow the last one.
+    skips_backlog: bool,
 }
 
 impl TopicReader {
@@ -83,6 +85,7 @@
             sent_at: TimePoint::ZERO,
             failing: false,
             continues: false,
+            skips_backlog: false,
         }
     }
 
@@ -149,8 +152,10 @@
             _ if is_followed => self.pace.wait.min(budget.max_read_wait()),
             _ => self.pace.wait,
         };
+        let skips = std::mem::take(&mut self.skips_backlog);
         let reading = async {
             match self.next_position() {
+                Some(next) if skips => self.skip_backlog(next).await,
                 Some(next) => self.read_from(next, wait).await,
                 None => self.read_newest().await,
             }
@@ -161,6 +166,8 @@
             outcome.unwrap_or_else(|| Err(StoreError::NoResponse("no answer in time".into())));
         self.state.metrics.note_store_call(topic_name(self.topic), outcome.is_ok());
         self.continues = matches!(outcome, Ok(ReadExtent::Whole | ReadExtent::Cut));
+        let is_behind = outcome == Ok(ReadExtent::Cut) && self.topic == StoreTopic::Config;
+        self.skips_backlog = is_behind && !skips;
         match &outcome {
             Ok(extent) => self.note_answer(sent_at, wait, *extent),
             Err(error) => self.note_failure(error),
@@ -193,29 +200,30 @@
             EraChange::Outdated => Err(StoreError::Outdated),
             // The offset was one of an era before, which this read or another one found to be over.
             _ if batch.era != next.era => self.read_newest().await,
-            _ if topic == StoreTopic::Config && batch.is_cut() => {
-                self.skip_backlog(batch, from).await
-            }
             _ => self.apply_batch(batch, Some(from)),
         }
     }
 
-    /// Reads the newest configuration in place of those that follow `batch`, the answer to a read from the
-    /// offset `from`.
-    async fn skip_backlog(&self, batch: RecordBatch, from: u64) -> Result<ReadExtent, StoreError> {
-        let end = batch.end;
-        match self.read_newest().await {
-            Ok(extent) => {
-                log::info!(
-                    target: part::FOLLOW, from = from, end = end;
-                    "superseded configurations skipped"
-                );
-                self.state.metrics.note_skipped_backlog();
-                Ok(extent)
-            }
-            // What has arrived is progress.
-            Err(_) => self.apply_batch(batch, Some(from)),
+    /// Reads the newest configuration in place of the records from `next` on, which are still to be read if it
+    /// does not come into force.
+    async fn skip_backlog(&self, next: LogPosition) -> Result<ReadExtent, StoreError> {
+        let batch = (self.state.store.newest)(self.topic).await?;
+        if self.state.note_era(batch.era, "store") == EraChange::Outdated {
+            return Err(StoreError::Outdated);
+        }
+        let before = self.state.view().config_version();
+        self.apply_records(&batch, None);
+        if batch.era == next.era && self.state.view().config_version() <= before {
+            return Ok(ReadExtent::Cut);
         }
+        let end = LogPosition { era: batch.era, offset: batch.end };
+        self.state.view().advance(self.topic, end, true);
+        self.state.metrics.note_skipped_backlog();
+        log::info!(
+            target: part::FOLLOW, from = next.offset, end = end.offset;
+            "superseded configurations skipped"
+        );
+        Ok(ReadExtent::Whole)
     }
 
     async fn read_newest(&self) -> Result<ReadExtent, StoreError> {
@@ -245,17 +253,7 @@
             let is_applied = self.state.apply_endpoints(update, "store");
             return if is_applied { Ok(extent) } else { Err(StoreError::Outdated) };
         }
-        if self.topic == StoreTopic::Config {
-            // Before the configuration, with which an entry that starts begins to serve.
-            self.state.apply_evacuations(&batch, from.is_none());
-        }
-        let version = self.state.view().config_version();
-        for record in &batch.records {
-            self.state.apply_record(self.topic, record, "store");
-        }
-        if self.topic == StoreTopic::Config {
-            self.note_configs(&batch, from, version);
-        }
+        self.apply_records(&batch, from);
         let next = if from.is_none() { Some(batch.end) } else { batch_end };
         if let Some(offset) = next {
             let next = LogPosition { era: batch.era, offset };
@@ -268,6 +266,21 @@
         Ok(extent)
     }
 
+    /// Applies the records of a topic other than that of the endpoints.
+    fn apply_records(&self, batch: &RecordBatch, from: Option<u64>) {
+        if self.topic == StoreTopic::Config {
+            // Before the configuration, with which an entry that starts begins to serve.
+            self.state.apply_evacuations(batch, from.is_none());
+        }
+        let version = self.state.view().config_version();
+        for record in &batch.records {
+            self.state.apply_record(self.topic, record, "store");
+        }
+        if self.topic == StoreTopic::Config {
+            self.note_configs(batch, from, version);
+        }
+    }
+
     /// Notes the answer to a read that was sent at `sent_at` and waited for `wait` at most.
     fn note_answer(&mut self, sent_at: TimePoint, wait: Duration, extent: ReadExtent) {
         if self.failing {
--- a/crates/gateway/tests/late_answers/mod.rs
+++ b/crates/gateway/tests/late_answers/mod.rs
@@ -13,7 +13,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock, follow,
+    clock,
+    follow,
     peer_messages::state,
     state::GatewayState,
     store::{LogRead, RecordBatch, StoreError, StoreRecord, StoreTopic},
@@ -29,10 +30,10 @@
 /// Follows the configuration in a store whose answer number `n` to a read, from 0, is `answers[n]`, after a
 /// time for which the read waits and a time on the way; returns how much later than the last answer was given
 /// the configuration counts as current. The list of the newest records ends at offset 1 when it is first read;
-/// after that it ends at `newest_end`, or cannot be read if this is `None`.
+/// after that it is `newest`.
 async fn overstated(
     answers: &[(Duration, Duration, RecordBatchForm)],
-    newest_end: Option<u64>,
+    newest: NewestForm,
 ) -> (Arc<GatewayState>, Duration) {
     let mut state = state();
     let (answers, count) = (answers.to_vec(), answers.len());
@@ -43,9 +44,14 @@
     let lists = AtomicUsize::new(0);
     state.store.newest = Box::new(move |_| {
         let is_first = lists.fetch_add(1, Ordering::SeqCst) == 0;
-        let end = if is_first { Some(1) } else { newest_end };
-        let list = end.map(|end| RecordBatch { end, records: vec![record(end - 1)], era: 0 });
-        Box::pin(async move { list.ok_or(StoreError::Refused(503)) })
+        let list = |end, records| Ok(RecordBatch { end, records, era: 0 });
+        let answer = match newest {
+            _ if is_first => list(1, vec![record(0)]),
+            NewestForm::Refused => Err(StoreError::Refused(503)),
+            NewestForm::Usable => list(10, vec![record(9)]),
+            NewestForm::Odd => list(10, vec![StoreRecord { key: "odd".into(), ..record(9) }]),
+        };
+        Box::pin(async move { answer })
     });
     state.store.read = Box::new(move |LogRead { from, .. }| {
         let (counted, noted) = (Arc::clone(&counted), Arc::clone(&noted));
@@ -86,6 +92,16 @@
     (state, overstated)
 }
 
+/// The list of the newest records.
+#[derive(Clone, Copy)]
+enum NewestForm {
+    Refused,
+    /// The list holds a configuration, at offset 9.
+    Usable,
+    /// The list holds none that can be used.
+    Odd,
+}
+
 /// What an answer holds.
 #[derive(Clone, Copy)]
 enum RecordBatchForm {
@@ -105,8 +121,10 @@
 /// Guards against a copy that counts as current at the arrival of an answer that was long on its way.
 #[tokio::test]
 async fn an_answer_that_arrives_late_counts_from_the_time_at_which_it_was_given() {
-    let (_, empty) = overstated(&[FIRST, (WAIT, TRANSIT, RecordBatchForm::Empty)], None).await;
-    let (_, whole) = overstated(&[FIRST, (HALF, TRANSIT, RecordBatchForm::Whole)], None).await;
+    let (_, empty) =
+        overstated(&[FIRST, (WAIT, TRANSIT, RecordBatchForm::Empty)], NewestForm::Refused).await;
+    let (_, whole) =
+        overstated(&[FIRST, (HALF, TRANSIT, RecordBatchForm::Whole)], NewestForm::Refused).await;
     let allowed = Duration::from_millis(60);
     assert!(empty < allowed && whole < allowed, "{empty:?}, {whole:?}");
 }
@@ -116,7 +134,7 @@
 async fn an_answer_that_is_cut_at_its_limit_makes_no_copy_current() {
     let started = clock::now();
     let cut = [(HALF, NOTHING, RecordBatchForm::Cut), (HALF, NOTHING, RecordBatchForm::Cut)];
-    let (state, _) = overstated(&cut, None).await;
+    let (state, _) = overstated(&cut, NewestForm::Refused).await;
     let current_at = state.view().follower.current_at();
     assert!(current_at.since(started) < HALF, "{:?}", current_at.since(started));
     assert_eq!(state.view().config_version(), Some(4));
@@ -125,10 +143,20 @@
 /// Guards against a reader that receives each version of the configuration since its last read.
 #[tokio::test]
 async fn the_newest_configuration_is_read_in_place_of_a_backlog() {
-    let started = clock::now();
-    let (state, _) = overstated(&[(HALF, NOTHING, RecordBatchForm::Cut)], Some(10)).await;
+    let sent_at = clock::now() + HALF;
+    let (state, _) = overstated(&[(HALF, NOTHING, RecordBatchForm::Cut)], NewestForm::Usable).await;
     assert_eq!(state.view().config_version(), Some(9));
     let next = state.view().next_position(StoreTopic::Config);
     assert_eq!(next, Some(LogPosition { era: 0, offset: 10 }));
-    assert!(state.view().follower.current_at() >= started);
+    assert!(state.view().follower.current_at() >= sent_at);
+}
+
+/// Guards against configurations that are lost as the newest record cannot be used.
+#[tokio::test]
+async fn a_backlog_is_read_on_if_its_newest_record_cannot_be_used() {
+    let answers = [(HALF, NOTHING, RecordBatchForm::Cut), (NOTHING, HALF, RecordBatchForm::Whole)];
+    let (state, _) = overstated(&answers, NewestForm::Odd).await;
+    assert_eq!(state.view().config_version(), Some(4));
+    let next = state.view().next_position(StoreTopic::Config);
+    assert_eq!(next, Some(LogPosition { era: 0, offset: 5 }));
 }
