No position is claimed while the store may have lost an order to evacuate

Found by the review, by reading: a store came back from an older copy without an order; the reader keeps it for 4 s, in which operators write it again. An entry that took over the order and the reader's position, and then had to read itself as that one died, read on from there and kept the order until an operator wrote. Before positions were passed on, it would have read the list.

late_answers: no_position_is_claimed_while_the_store_may_have_lost_an_order.

--- a/crates/gateway/src/copy_messages.rs
+++ b/crates/gateway/src/copy_messages.rs
@@ -145,7 +145,12 @@
             let copy = self.endpoints();
             (copy.update_for(known.endpoints_next), copy.directory().outage_end(now))
         };
-        let evacuations = self.evacuations().update_for(known.evacuations_known);
+        let (evacuations, has_unconfirmed) = {
+            let orders = self.evacuations();
+            (orders.update_for(known.evacuations_known), orders.has_unconfirmed())
+        };
+        // Who continues at the position of the claim does not see that the store has lost an order.
+        let claim = claim.filter(|_| !has_unconfirmed);
         let view = self.view();
         CopyAnswer {
             store_age_ms: age_ms(now, current_at),
--- a/crates/gateway/tests/late_answers/mod.rs
+++ b/crates/gateway/tests/late_answers/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     clock,
+    copy_messages::CopyState,
     follow,
     peer_messages::state,
     state::GatewayState,
@@ -160,3 +161,24 @@
     let next = state.view().next_position(StoreTopic::Config);
     assert_eq!(next, Some(LogPosition { era: 0, offset: 5 }));
 }
+
+/// Guards against an order to evacuate that the store has lost and that stays in force at a new reader.
+#[tokio::test]
+async fn no_position_is_claimed_while_the_store_may_have_lost_an_order() {
+    let state = state();
+    let list = |era, records| RecordBatch { era, end: 5, records };
+    let order = StoreRecord { key: "evacuate/a".into(), value: Some("x".into()), ..record(1) };
+    state.note_era(1, "store");
+    state.apply_evacuations(&list(1, vec![order]), true);
+    state.apply_record(StoreTopic::Config, &record(2), "store");
+    state.view().advance(StoreTopic::Config, LogPosition { era: 1, offset: 5 }, true);
+    assert!(state.copy_for(&CopyState::default()).claim.is_some());
+
+    state.note_era(2, "store");
+    state.apply_evacuations(&list(2, Vec::new()), true);
+    state.view().advance(StoreTopic::Config, LogPosition { era: 2, offset: 5 }, true);
+    assert!(state.copy_for(&CopyState::default()).claim.is_none());
+    let later = clock::now() + Duration::from_secs(60);
+    state.evacuations().expire(later);
+    assert!(state.copy_for(&CopyState::default()).claim.is_some());
+}
--- a/crates/kernel/src/place/evacuation_orders.rs
+++ b/crates/kernel/src/place/evacuation_orders.rs
@@ -72,6 +72,11 @@
         self.position
     }
 
+    /// Reports whether orders are in force that the store may have lost.
+    pub fn has_unconfirmed(&self) -> bool {
+        !self.unconfirmed.is_empty()
+    }
+
     /// Applies the list of all orders in the records before `end`, and reports whether the
     /// evacuated domains changed.
     pub fn apply_list(
