An entry answers others with what they lack, whatever the age of its copy as a whole

By reading, the same holds for endpoints that leave, while a configuration is on its way.

What an answer holds has a version or a position, so it is sent if the asker lacks it. An entry that learns of a newer era by the question sends nothing of the earlier one.

late_answers: a_newer_configuration_is_passed_on_though_the_copy_as_a_whole_is_older.

--- a/crates/gateway/src/copy_messages.rs
+++ b/crates/gateway/src/copy_messages.rs
@@ -107,29 +107,30 @@
         CopyQuestion { peer, domain, state: self.copy_state(), takes_list }
     }
 
-    /// Answers the question of another entry, with data only if this entry's copy is newer.
+    /// Answers the question of another entry with what that one lacks. Parts of this entry's copy may be newer
+    /// although its copy as a whole is older.
     pub(crate) fn answer_copy_question(&self, question: &CopyQuestion) -> CopyAnswer {
         let now = clock::now();
-        self.note_era(question.state.era, "peer");
+        let era_change = self.note_era(question.state.era, "peer");
         let answer = self.copy_for(&question.state);
-        let is_newer = {
+        {
             let mut view = self.view();
             let (address, domain) = (question.peer, Some(question.domain.clone()));
             view.roster.note_entry(now, &KnownEntry { address, domain, age_ms: 0 });
             view.note_copy_of(now, question.peer, &question.state);
-            answer.era > question.state.era || answer.store_age_ms < question.state.store_age_ms
-        };
-        if is_newer {
-            let is_long = answer
-                .endpoints
-                .as_ref()
-                .is_some_and(|update| update.value_bytes(Vec::len) > SHORT_LIST_BYTES);
-            let has_list = is_long && !question.takes_list;
-            let endpoints = answer.endpoints.filter(|_| !has_list);
-            return CopyAnswer { endpoints, has_list, ..answer };
         }
-        let CopyAnswer { store_age_ms, reader, era, .. } = answer;
-        CopyAnswer { store_age_ms, reader, era, ..CopyAnswer::default() }
+        if era_change == EraChange::Entered {
+            // What this entry has is of an earlier era.
+            let CopyAnswer { store_age_ms, reader, era, .. } = answer;
+            return CopyAnswer { store_age_ms, reader, era, ..CopyAnswer::default() };
+        }
+        let is_long = answer
+            .endpoints
+            .as_ref()
+            .is_some_and(|update| update.value_bytes(Vec::len) > SHORT_LIST_BYTES);
+        let has_list = is_long && !question.takes_list;
+        let endpoints = answer.endpoints.filter(|_| !has_list);
+        CopyAnswer { endpoints, has_list, ..answer }
     }
 
     /// Returns what an entry lacks that has `known` of the store.
--- a/crates/gateway/tests/late_answers/mod.rs
+++ b/crates/gateway/tests/late_answers/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     clock,
-    copy_messages::CopyState,
+    copy_messages::{CopyQuestion, CopyState},
     follow,
     peer_messages::state,
     state::GatewayState,
@@ -182,3 +182,19 @@
     state.evacuations().expire(later);
     assert!(state.copy_for(&CopyState::default()).claim.is_some());
 }
+
+/// Guards against news that an entry keeps to itself until another part of its copy is read.
+#[tokio::test]
+async fn a_newer_configuration_is_passed_on_though_the_copy_as_a_whole_is_older() {
+    let state = state();
+    state.apply_record(StoreTopic::Config, &record(9), "store");
+    state.view().advance(StoreTopic::Config, LogPosition { era: 0, offset: 10 }, false);
+    let own = state.copy_state();
+    let known = CopyState { store_age_ms: 0, config_version: Some(4), ..own.clone() };
+    assert!(own.store_age_ms > known.store_age_ms);
+    let asker = state.copy_question(false);
+    let answer = state.answer_copy_question(&CopyQuestion { state: known, ..asker.clone() });
+    assert!(answer.config.held.is_some() && answer.claim.is_some());
+    let same = state.answer_copy_question(&CopyQuestion { state: own, ..asker });
+    assert_eq!((same.config.held, same.endpoints, same.evacuations), (None, None, None));
+}
