--- a/crates/daemon/tests/large_changes.rs
+++ b/crates/daemon/tests/large_changes.rs
@@ -23,6 +23,6 @@
 #[test]
 fn changes_take_effect_in_time_beside_large_configurations_over_slow_links() {
     let link_rates = &[Some(10.0), Some(25.0), None];
-    let world = ChangeWorld { link_rates, filler_routes: &[0, 300, 1_500] };
+    let world = ChangeWorld { link_rates, filler_routes: &[0, 300, 1_500], zones: &["a"] };
     changes::run(env!("CARGO_BIN_EXE_pimentorockd"), world);
 }
--- a/crates/daemon/tests/late_changes.rs
+++ b/crates/daemon/tests/late_changes.rs
@@ -22,6 +22,6 @@
 /// Guards against an older configuration, a withdrawn key or an endpoint that leaves in use after their bounds.
 #[test]
 fn changes_take_effect_in_time_while_the_store_refuses_most_entries() {
-    let world = ChangeWorld { link_rates: &[None], filler_routes: &[0] };
+    let world = ChangeWorld { link_rates: &[None], filler_routes: &[0], zones: &["a"] };
     changes::run(env!("CARGO_BIN_EXE_pimentorockd"), world);
 }
